--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,73 @@
+// Package route holds the snapshot from which requests are routed. The control
+// loop publishes a new snapshot with every change; requests read it without locks.
+package route
+
+import (
+	"sync/atomic"
+
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/table"
+)
+
+// Snapshot is one consistent view of table, assignments and controllers. It is
+// not changed after it was published.
+type Snapshot struct {
+	TableVersion uint64
+	// Serving is false when the instance must not take requests, for Reason.
+	Serving  bool
+	Reason   string
+	Services map[string]*Service
+}
+
+// Service is the routing view of one service.
+type Service struct {
+	table.Service
+	// Assignment is nil until the instance knows one.
+	Assignment *placement.Assignment
+	// Owners has the target of each index of Assignment.Targets; nil for a
+	// target that the table no longer has.
+	Owners []*Target
+	// Targets are the targets in table order.
+	Targets []*Target
+}
+
+// Target is the routing view of one target.
+type Target struct {
+	Row table.Row
+	// Controller is the instance in front of the target; empty if none is known.
+	Controller string
+	// ForwardAddress is the forward listener of the controller.
+	ForwardAddress string
+	// Term is the controller's term.
+	Term uint64
+	// Local says that this instance is the controller.
+	Local bool
+	// Ready says that the target is believed to be able to serve.
+	Ready bool
+	// ReadySince is the Unix time in milliseconds at which it became ready, for the ramp.
+	ReadySince int64
+}
+
+// Authority is checked at the moment of each forwarded request.
+type Authority interface {
+	// MayForward reports whether this instance is in contact and controls the
+	// target under the term right now.
+	MayForward(target string, term uint64) bool
+	// MayRun reports in addition whether the target holds the partition at the
+	// epoch under a lease that has not lapsed.
+	MayRun(target string, term uint64, partition int, epoch uint64) bool
+}
+
+// Holder publishes snapshots.
+type Holder struct{ p atomic.Pointer[Snapshot] }
+
+// Load returns the current snapshot, never nil.
+func (h *Holder) Load() *Snapshot {
+	if s := h.p.Load(); s != nil {
+		return s
+	}
+	return &Snapshot{Reason: "no table yet"}
+}
+
+// Store publishes a snapshot.
+func (h *Holder) Store(s *Snapshot) { h.p.Store(s) }
