Add control core with cell record, assignments, leases and take-over

HeartbeatAck, Heartbeat, Member, Controller, TargetReport and AssignmentRequest get further fields; messages Proposal, ProposalAck, AssignmentState and ControlEnded are new.

--- a/ownership/action.go
+++ b/ownership/action.go
@@ -103,6 +103,9 @@
 	// Granted has the epoch of each partition that the server has confirmed.
 	Granted map[int]uint64
 	Boot    string
+	// LeaseUntil is the end of the lease when the view was published; 0 if the
+	// server does not check grants. Renewals extend it: see ExtendLease.
+	LeaseUntil lease.Instant
 }
 
 // PendingMove is a planned move and why it waits.
@@ -118,3 +121,13 @@
 type ExtendContact struct{ Until lease.Instant }
 
 func (ExtendContact) action() {}
+
+// ExtendLease moves the end of the lease of a target that this instance
+// controls, as the controller counts it.
+type ExtendLease struct {
+	Target string
+	Term   uint64
+	Until  lease.Instant
+}
+
+func (ExtendLease) action() {}
--- /dev/null
+++ b/ownership/assignment.go
@@ -0,0 +1,157 @@
+package ownership
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/platform"
+)
+
+// serviceState is what a member knows of the assignment of a leased service.
+type serviceState struct {
+	name string
+	// a is the newest assignment in force; nil until one is known.
+	a           *placement.Assignment
+	provisional bool
+	// proposal is the highest assignment that was acknowledged but is not known to be in force.
+	proposal *placement.Assignment
+	slot     *slot
+	// fromStore is the newest assignment read from the store.
+	fromStore *placement.Assignment
+	askAt     lease.Instant
+	// versions heard in acknowledgements, by member.
+	versions map[string]uint64
+}
+
+// service returns the state of a leased service, which it creates if needed.
+func (c *Core) service(name string) *serviceState {
+	s := c.services[name]
+	if s == nil {
+		s = &serviceState{
+			name:     name,
+			slot:     &slot{kind: kindAssignment, name: c.cfg.Cell + "." + name, service: name},
+			versions: map[string]uint64{},
+		}
+		c.services[name] = s
+		c.order = append(c.order, s)
+		slices.SortFunc(c.order, func(a, b *serviceState) int { return strings.Compare(a.name, b.name) })
+	}
+	return s
+}
+
+func (s *serviceState) version() uint64 {
+	if s.a == nil {
+		return 0
+	}
+	return s.a.Version
+}
+
+// highest is the highest version in force or acknowledged.
+func (s *serviceState) highest() uint64 {
+	if s.proposal != nil {
+		return max(s.proposal.Version, s.version())
+	}
+	return s.version()
+}
+
+// newest returns the assignment of the highest version, in force or not.
+func (s *serviceState) newest() *placement.Assignment {
+	if s.proposal != nil && s.proposal.Version > s.version() {
+		return s.proposal
+	}
+	return s.a
+}
+
+// keep stores a proposal unless it is older than what is known.
+func (s *serviceState) keep(a *placement.Assignment) bool {
+	if a.Version < s.highest() {
+		return false
+	}
+	if a.Version > s.highest() {
+		s.proposal = a
+	}
+	return true
+}
+
+func (s *serviceState) heard(from string, version uint64) {
+	if version > s.versions[from] {
+		s.versions[from] = version
+	}
+}
+
+// adoptAssignment takes an assignment if it is newer.
+func (c *Core) adoptAssignment(a *placement.Assignment, provisional bool) {
+	s := c.service(a.Service)
+	if a.Version <= s.version() && !c.cfg.faults.noEpochOrder {
+		if a.Version == s.version() && !provisional && s.provisional {
+			s.provisional, c.viewDirty = false, true
+		}
+		return
+	}
+	s.a, s.provisional, c.viewDirty = a, provisional, true
+	if s.proposal != nil && s.proposal.Version <= a.Version {
+		s.proposal = nil
+	}
+	for _, h := range c.heldOrder {
+		if h.service == a.Service {
+			c.assignmentChanged(h)
+		}
+	}
+}
+
+func (c *Core) onAssignment(from string, m AssignmentUpdate) {
+	if m.Full != nil {
+		c.adoptAssignment(m.Full, m.Provisional)
+		return
+	}
+	s := c.service(m.Delta.Service)
+	if m.Delta.To <= s.version() {
+		if m.Delta.To == s.version() && !m.Provisional {
+			c.adoptAssignment(s.a, false)
+		}
+		return
+	}
+	if s.a != nil {
+		if next, ok := s.a.Apply(m.Delta); ok {
+			c.adoptAssignment(next, m.Provisional)
+			return
+		}
+	}
+	if c.now >= s.askAt {
+		s.askAt = c.now + c.cfg.HeartbeatInterval
+		c.send(from, AssignmentRequest{Service: s.name})
+	}
+}
+
+func (c *Core) onAssignmentRequest(from string, m AssignmentRequest) {
+	s := c.services[m.Service]
+	if s == nil || !c.member() {
+		return
+	}
+	if m.Recover > 0 {
+		if m.Recover == c.cell.PlannerTerm {
+			c.send(from, AssignmentState{Service: s.name, Term: m.Recover, Highest: s.newest()})
+		}
+		return
+	}
+	if s.a != nil {
+		c.send(from, AssignmentUpdate{Full: s.a, Provisional: s.provisional})
+	}
+}
+
+func (c *Core) observeAssignment(sl *slot, o platform.Object) {
+	a := &placement.Assignment{}
+	if json.Unmarshal(o.Value, a) != nil || a.Service != sl.service || len(a.Owner) != len(a.Epoch) {
+		c.record(false, "store.malformed", "kind", o.Kind, "name", o.Name)
+		return
+	}
+	s := c.service(a.Service)
+	sl.stored, sl.seen = max(sl.stored, a.Version), a.Version
+	s.fromStore = a
+	if c.plan == nil {
+		c.adoptAssignment(a, false)
+	}
+}
--- /dev/null
+++ b/ownership/cell.go
@@ -0,0 +1,143 @@
+package ownership
+
+import (
+	"slices"
+
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/membership"
+)
+
+// versionStep separates the cell versions of the planner from those of members
+// that act in its place: base + step is the planner's, base + step + 1 + order
+// is that of a member in order, so two writers never choose the same version.
+const versionStep = 256
+
+// nextCellVersion returns the version after v for a writer in the planner's term.
+func nextCellVersion(v, term, writer uint64) uint64 {
+	if v>>32 < term {
+		v = term << 32
+	}
+	return (v/versionStep+1)*versionStep + writer
+}
+
+// adoptCell takes a cell record if it is newer. A record with the same version
+// that the store has ends the provisional state.
+func (c *Core) adoptCell(cell *Cell, provisional bool) {
+	if cell == nil || cell.Name != c.cfg.Cell {
+		return
+	}
+	if !provisional {
+		c.cellSlot.stored = max(c.cellSlot.stored, cell.Version)
+	}
+	if c.cell != nil && cell.Version <= c.cell.Version {
+		if cell.Version == c.cell.Version && !provisional && c.cellProvisional {
+			c.cellProvisional, c.viewDirty = false, true
+		}
+		return
+	}
+	old := c.cell
+	c.cell, c.cellProvisional, c.viewDirty = cell, provisional, true
+	if c.cellProposal != nil && c.cellProposal.Version <= cell.Version {
+		c.cellProposal = nil
+	}
+	c.record(false, "cell.adopted", "version", cell.Version, "planner", cell.Planner,
+		"members", len(cell.Members), "provisional", provisional)
+	if c.joining.replaced && c.member() {
+		// An earlier process of this instance may have promised to acknowledge nothing.
+		c.joining.replaced, c.joining.quiet = false, c.now+c.cfg.SuspendFor
+	}
+	c.membersChanged(old)
+	c.plannerChanged(old)
+	c.controlsChangedFrom(old)
+}
+
+func (c *Core) membersChanged(old *Cell) {
+	ids := make([]string, 0, len(c.cell.Members))
+	for _, m := range c.cell.Members {
+		ids = append(ids, m.ID)
+	}
+	c.contact.SetMembers(c.now, ids)
+	c.nextBeat = c.now
+	if old == nil {
+		return
+	}
+	for _, m := range c.cell.Members {
+		if o, ok := old.Member(m.ID); ok && o.Incarnation != m.Incarnation {
+			c.contact.Forget(c.now, m.ID)
+			delete(c.lastStamp, m.ID)
+		}
+	}
+}
+
+func (c *Core) plannerChanged(old *Cell) {
+	switch {
+	case !c.isPlanner():
+		c.plan = nil
+	case c.plan == nil || c.plan.term != c.cell.PlannerTerm:
+		c.startPlanner()
+	default:
+		c.plan.controllersChanged(c.cell)
+	}
+	if old == nil || old.Planner != c.cell.Planner || old.PlannerTerm != c.cell.PlannerTerm {
+		for _, h := range c.heldOrder {
+			h.reportAt = c.now
+		}
+	}
+}
+
+// onProposal keeps a record that the store could not take. It is refused if the
+// sender is suspended or if it was not derived from what this member has.
+func (c *Core) onProposal(from string, m Proposal) {
+	if !c.member() || c.contact.Suspended(c.now, from) {
+		return
+	}
+	switch {
+	case m.Cell != nil:
+		c.onCellProposal(from, m)
+	case m.Assignment != nil && from == c.cell.Planner:
+		s := c.services[m.Assignment.Service]
+		if s == nil || m.Assignment.Version>>32 != c.cell.PlannerTerm {
+			return
+		}
+		if s.keep(m.Assignment) {
+			c.send(from, ProposalAck{Service: s.name, Version: m.Assignment.Version})
+		}
+	}
+}
+
+func (c *Core) onCellProposal(from string, m Proposal) {
+	silent := c.silent(c.cell.Planner)
+	if from != c.cell.Planner && !silent || from == c.cell.Planner && silent {
+		return
+	}
+	switch high := c.highestCell(); {
+	case m.Cell.Version == high:
+	case m.Base == high && m.Cell.Version > high:
+		c.cellProposal = m.Cell
+	default:
+		return
+	}
+	c.send(from, ProposalAck{Version: m.Cell.Version})
+}
+
+// silent reports whether this member itself reports the member silent.
+func (c *Core) silent(id string) bool {
+	return slices.ContainsFunc(c.contact.Silent(c.now), func(s membership.Silence) bool { return s.ID == id })
+}
+
+// lost reports whether a majority reports the member silent, and a moment by
+// which it was out of contact.
+func (c *Core) lost(id string) (bool, lease.Instant) {
+	return c.contact.SilentToMajority(c.now, id)
+}
+
+func silences(m HeartbeatAck) []membership.Silence {
+	if len(m.Silent) == 0 || len(m.Silent) != len(m.SilentFor) {
+		return nil
+	}
+	out := make([]membership.Silence, len(m.Silent))
+	for i, id := range m.Silent {
+		out[i] = membership.Silence{ID: id, For: m.SilentFor[i]}
+	}
+	return out
+}
--- a/ownership/config.go
+++ b/ownership/config.go
@@ -31,8 +31,28 @@
 	TickInterval time.Duration
 	// Incarnation makes IDs of this process unique across restarts.
 	Incarnation string
+	// StoreTimeout is the time after which a store call counts as failed. Default 50 ms.
+	StoreTimeout time.Duration
+	// StoreRetry is the time between attempts while the store fails. Default 250 ms.
+	StoreRetry time.Duration
+	// JoinInterval is the time between join attempts. Default 500 ms.
+	JoinInterval time.Duration
+	// ReplaceAfter is the time for which a recorded cell must have been dead before
+	// a joiner replaces it; longer than all other windows together. Default 4 s.
+	ReplaceAfter time.Duration
+	// RemoveInterval is the least time between two removals of lost members. Default 10 s.
+	RemoveInterval time.Duration
+	// Settle is the time that a new planner waits for reports of all targets before
+	// it gives away partitions without an owner. Default 700 ms.
+	Settle time.Duration
+	// PlanInterval is the time between plans when nothing happens. Default 1 s.
+	PlanInterval time.Duration
+	// ReportInterval is the time between repeated reports. Default 250 ms.
+	ReportInterval time.Duration
 	// NewPolicy returns the placement policy of a service.
 	NewPolicy func(service string) placement.Policy
+
+	faults faults
 }
 
 // DefaultConfig returns the defaults, without Self, Cell and NewPolicy.
@@ -46,5 +66,13 @@
 		SuspendFor:        2 * time.Second,
 		ReportValid:       time.Second,
 		TickInterval:      20 * time.Millisecond,
+		StoreTimeout:      50 * time.Millisecond,
+		StoreRetry:        250 * time.Millisecond,
+		JoinInterval:      500 * time.Millisecond,
+		ReplaceAfter:      4 * time.Second,
+		RemoveInterval:    10 * time.Second,
+		Settle:            700 * time.Millisecond,
+		PlanInterval:      time.Second,
+		ReportInterval:    250 * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/ownership/core.go
@@ -0,0 +1,257 @@
+package ownership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/membership"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/table"
+)
+
+// pauseAfter is the time between two steps from which the process counts as
+// paused. It is several tick intervals, so a busy loop is not a pause.
+const pauseAfter = 100 * time.Millisecond
+
+// Core is the control core of one instance. See the package comment.
+type Core struct {
+	cfg Config
+	now lease.Instant
+	out []Action
+	ids uint64
+
+	table     *table.Table
+	rows      map[string]table.Row // by "service/target"; rows that left the table are kept
+	instances map[string]platform.InstanceState
+
+	contact   *membership.Tracker
+	nextBeat  lease.Instant
+	lastStamp map[string]lease.Stamp // newest heartbeat of each member, to acknowledge again
+	returning bool                   // contact was lost and is not proven with the newest record
+	until     lease.Instant          // last ExtendContact
+
+	cell            *Cell
+	cellProvisional bool
+	cellProposal    *Cell
+	cellSlot        *slot
+	services        map[string]*serviceState
+	order           []*serviceState // services by name
+	ops             map[uint64]*slot
+
+	held      map[string]*holding
+	heldOrder []*holding // by target
+
+	plan *planner // nil unless this instance is the planner
+	take takeover
+
+	joining   joinState
+	stopping  bool
+	stopped   bool
+	viewDirty bool
+}
+
+// New returns the core of an instance that has just started.
+func New(cfg Config) *Core {
+	cfg.Self.Incarnation = cfg.Incarnation
+	c := &Core{
+		cfg: cfg, rows: map[string]table.Row{}, instances: map[string]platform.InstanceState{},
+		lastStamp: map[string]lease.Stamp{}, services: map[string]*serviceState{},
+		ops: map[uint64]*slot{}, held: map[string]*holding{}, returning: true,
+		contact: membership.New(membership.Config{
+			Self: cfg.Self.ID, ContactWindow: cfg.ContactWindow, SilenceAfter: cfg.SilenceAfter,
+			SuspendFor: cfg.SuspendFor, ReportValid: cfg.ReportValid, PauseAfter: pauseAfter,
+			KeepAcknowledging: cfg.faults.noSuspension,
+		}),
+		cellSlot: &slot{kind: kindCell, name: cfg.Cell},
+	}
+	c.joining.rejoined = map[string]bool{}
+	return c
+}
+
+// Step takes one event at the time now and returns the actions to carry out, in
+// order. The time never goes back. The slice is the caller's.
+func (c *Core) Step(now lease.Instant, ev Event) []Action {
+	c.now, c.out = max(c.now, now), nil
+	c.checkContact()
+	c.handle(ev)
+	c.advance()
+	c.publish()
+	return c.out
+}
+
+func (c *Core) handle(ev Event) {
+	switch e := ev.(type) {
+	case Tick:
+	case TableObserved:
+		c.onTable(e.Table)
+	case InstancesListed:
+		c.onInstances(e.Instances)
+	case MessageReceived:
+		c.onMessage(e.From, e.Message)
+	case StoreReplied:
+		c.onStore(e)
+	case ServerReplied:
+		c.onServer(e)
+	case AdmissionStopped:
+		c.onAdmissionStopped(e)
+	case LoadObserved:
+		c.onLoadObserved(e.Reports)
+	case HealthObserved:
+		c.onHealth(e)
+	case StopRequested:
+		c.stopping = true
+	}
+}
+
+// advance does what is due at c.now.
+func (c *Core) advance() {
+	c.checkContact()
+	c.beat()
+	c.advanceJoin()
+	c.advanceTakeover()
+	c.advanceControl()
+	c.advancePlanner()
+	c.advanceStop()
+}
+
+func (c *Core) onMessage(from string, m Message) {
+	switch e := m.(type) {
+	case Heartbeat:
+		c.onHeartbeat(from, e)
+	case HeartbeatAck:
+		c.onAck(from, e)
+	case JoinRequest:
+		c.onJoin(from, e)
+	case LeaveRequest:
+		c.onLeave(from)
+	case CellUpdate:
+		c.adoptCell(e.Cell, e.Provisional)
+	case AssignmentUpdate:
+		c.onAssignment(from, e)
+	case AssignmentRequest:
+		c.onAssignmentRequest(from, e)
+	case AssignmentState:
+		c.onAssignmentState(from, e)
+	case Proposal:
+		c.onProposal(from, e)
+	case ProposalAck:
+		c.onProposalAck(from, e)
+	case ReleaseOrder:
+		c.onReleaseOrder(from, e)
+	case TargetReport:
+		c.onReport(from, e)
+	case ControlEnded:
+		c.onControlEnded(e)
+	case LoadUpdate:
+		c.onLoad(from, e)
+	}
+}
+
+func (c *Core) onTable(t *table.Table) {
+	if c.table != nil && t.Version < c.table.Version {
+		return
+	}
+	c.table = t
+	for _, r := range t.Rows {
+		c.rows[r.ID()] = r
+	}
+	for _, s := range t.Services {
+		if s.Leased() {
+			c.service(s.Name)
+		}
+	}
+	c.controlsChanged()
+	if c.plan != nil {
+		c.plan.due = c.now
+	}
+}
+
+func (c *Core) onInstances(list []platform.Instance) {
+	clear(c.instances)
+	for _, in := range list {
+		c.instances[in.ID] = in.State
+	}
+	c.joining.listed = true
+}
+
+// row returns the row of a target in the current table.
+func (c *Core) row(target string) (table.Row, bool) {
+	if c.table == nil {
+		return table.Row{}, false
+	}
+	i := slices.IndexFunc(c.table.Rows, func(r table.Row) bool { return r.ID() == target })
+	if i < 0 {
+		return table.Row{}, false
+	}
+	return c.table.Rows[i], true
+}
+
+func serviceOf(target string) string {
+	s, _, _ := strings.Cut(target, "/")
+	return s
+}
+
+func targetName(target string) string {
+	_, t, _ := strings.Cut(target, "/")
+	return t
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) nextID() uint64 {
+	c.ids++
+	return c.ids
+}
+
+func (c *Core) record(audit bool, event string, fields ...any) {
+	c.emit(Record{Event: event, Fields: fields, Audit: audit})
+}
+
+// send sends a message to a member, or handles it at once if that is this instance.
+func (c *Core) send(id string, m Message) {
+	if id == c.cfg.Self.ID {
+		c.onMessage(id, m)
+		return
+	}
+	if c.cell == nil {
+		return
+	}
+	if to, ok := c.cell.Member(id); ok {
+		c.emit(SendMessage{To: to, Message: m})
+	}
+}
+
+// broadcast sends a message to all other members.
+func (c *Core) broadcast(m Message) {
+	if c.cell == nil {
+		return
+	}
+	for _, to := range c.cell.Members {
+		if to.ID != c.cfg.Self.ID {
+			c.emit(SendMessage{To: to, Message: m})
+		}
+	}
+}
+
+// member reports whether this process, not an earlier one, is a member.
+func (c *Core) member() bool {
+	if c.cell == nil {
+		return false
+	}
+	m, ok := c.cell.Member(c.cfg.Self.ID)
+	return ok && m.Incarnation == c.cfg.Incarnation
+}
+
+// inContact reports whether this instance may act: it is a member and a majority
+// acknowledged it lately, with the newest record since contact was last lost.
+func (c *Core) inContact() bool {
+	if c.cfg.faults.noContactCheck {
+		return c.member()
+	}
+	return c.member() && !c.returning && c.contact.InContact(c.now)
+}
+
+// isPlanner reports whether the record names this process as planner.
+func (c *Core) isPlanner() bool { return c.member() && c.cell.Planner == c.cfg.Self.ID }
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -57,6 +57,13 @@
 // LoadObserved reports the load of targets that this instance controls.
 type LoadObserved struct{ Reports []LoadReport }
 
+// HealthObserved reports the health of a target whose server does not check
+// grants, at its controller.
+type HealthObserved struct {
+	Target string
+	Up     bool
+}
+
 // StopRequested asks the instance to hand over everything before a planned stop.
 type StopRequested struct{}
 
@@ -68,6 +75,7 @@
 func (ServerReplied) event()    {}
 func (AdmissionStopped) event() {}
 func (LoadObserved) event()     {}
+func (HealthObserved) event()   {}
 func (StopRequested) event()    {}
 
 // LoadReport is the load of one target over the last interval.
@@ -138,6 +146,8 @@
 	Stamp lease.Stamp `msgpack:"s"`
 	// CellVersion is the version of the cell record that the sender has.
 	CellVersion uint64 `msgpack:"c"`
+	// Incarnation is that of the sender's process.
+	Incarnation string `msgpack:"n"`
 }
 
 // HeartbeatAck acknowledges a heartbeat.
@@ -147,6 +157,10 @@
 	CellVersion uint64      `msgpack:"c"`
 	// Silent are the members that the sender reports silent.
 	Silent []string `msgpack:"l,omitempty"`
+	// SilentFor is the time for which nothing was heard of each of them.
+	SilentFor []time.Duration `msgpack:"f,omitempty"`
+	// Assignments has the highest version of each service's assignment that the sender has.
+	Assignments map[string]uint64 `msgpack:"a,omitempty"`
 }
 
 // JoinRequest asks the planner to add the sender to the cell.
@@ -172,9 +186,42 @@
 	Provisional bool                  `msgpack:"p"`
 }
 
-// AssignmentRequest asks a peer for a whole assignment.
+// AssignmentRequest asks a peer for a whole assignment. If Recover is not 0, the
+// sender is a new planner in that term and wants the highest proposal too; the
+// answer is an AssignmentState.
 type AssignmentRequest struct {
 	Service string `msgpack:"s"`
+	Recover uint64 `msgpack:"r,omitempty"`
+}
+
+// AssignmentState answers an AssignmentRequest of a new planner. A member that
+// has sent it accepts no proposal of an older planner.
+type AssignmentState struct {
+	Service string                `msgpack:"s"`
+	Term    uint64                `msgpack:"n"`
+	Highest *placement.Assignment `msgpack:"f"`
+}
+
+// Proposal asks a member to keep a record that the store could not take. The
+// record is provisional once a majority has acknowledged it.
+type Proposal struct {
+	// Base is the version that the record was derived from.
+	Base       uint64                `msgpack:"b"`
+	Cell       *Cell                 `msgpack:"c,omitempty"`
+	Assignment *placement.Assignment `msgpack:"a,omitempty"`
+}
+
+// ProposalAck acknowledges a Proposal. Service is empty for the cell record.
+type ProposalAck struct {
+	Service string `msgpack:"s"`
+	Version uint64 `msgpack:"v"`
+}
+
+// ControlEnded tells the new controller of a target that its sender, the old
+// one, has nothing in flight any more.
+type ControlEnded struct {
+	Target string `msgpack:"t"`
+	Term   uint64 `msgpack:"n"`
 }
 
 // ReleaseOrder asks the controller of a target to release partitions.
@@ -208,6 +255,11 @@
 	Released []int `msgpack:"r,omitempty"`
 	// Draining says that the server asked to leave.
 	Draining bool `msgpack:"d,omitempty"`
+	// Version is the version of the assignment that the controller has. State and
+	// Released do not cover partitions with a later epoch.
+	Version uint64 `msgpack:"v"`
+	// SeenTerm is a higher term that the server has seen.
+	SeenTerm uint64 `msgpack:"h,omitempty"`
 }
 
 // LoadUpdate carries load reports to the planner.
@@ -225,3 +277,7 @@
 func (ReleaseOrder) message()      {}
 func (TargetReport) message()      {}
 func (LoadUpdate) message()        {}
+func (AssignmentState) message()   {}
+func (Proposal) message()          {}
+func (ProposalAck) message()       {}
+func (ControlEnded) message()      {}
--- /dev/null
+++ b/ownership/heartbeat.go
@@ -0,0 +1,122 @@
+package ownership
+
+import "github.com/boragegate/boragegate/lease"
+
+// checkContact judges the own contact and the silence of others at c.now. It
+// runs before and after every event, so a paused instance finds its contact
+// lost before it acts.
+func (c *Core) checkContact() {
+	if !c.member() {
+		return
+	}
+	if c.contact.Advance(c.now) {
+		c.repeatAcks()
+	}
+	switch in := c.contact.InContact(c.now); {
+	case !in && !c.returning:
+		c.returning = true
+		c.viewDirty = true
+		c.record(false, "contact.lost")
+	case in && c.returning && c.contact.NewestVersion(c.now) <= c.cell.Version:
+		c.returning = false
+		c.viewDirty = true
+		c.record(false, "contact.gained", "cell_version", c.cell.Version)
+	}
+	c.extendContact()
+}
+
+func (c *Core) extendContact() {
+	until := lease.Instant(-1)
+	if !c.returning {
+		until = c.contact.ContactUntil()
+	}
+	if until != c.until {
+		c.until = until
+		c.emit(ExtendContact{Until: until})
+	}
+}
+
+// beat sends heartbeats when they are due.
+func (c *Core) beat() {
+	if !c.member() || c.now < c.nextBeat {
+		return
+	}
+	c.nextBeat = max(c.nextBeat+c.cfg.HeartbeatInterval, c.now+c.cfg.HeartbeatInterval/2)
+	c.broadcast(Heartbeat{
+		Stamp:       lease.Stamp(c.now), //nolint:gosec // instants are not negative
+		CellVersion: c.cell.Version, Incarnation: c.cfg.Incarnation,
+	})
+}
+
+func (c *Core) onHeartbeat(from string, m Heartbeat) {
+	if !c.member() {
+		return
+	}
+	sender, ok := c.cell.Member(from)
+	if !ok || sender.Incarnation != m.Incarnation {
+		if m.CellVersion < c.cell.Version && ok {
+			c.send(from, CellUpdate{Cell: c.cell, Provisional: c.cellProvisional})
+		}
+		return
+	}
+	ack := c.contact.Heard(c.now, from)
+	if m.CellVersion < c.cell.Version {
+		c.send(from, CellUpdate{Cell: c.cell, Provisional: c.cellProvisional})
+	}
+	if c.cellProposal != nil && c.silent(c.cell.Planner) {
+		// The lost planner may have put it into force, so its successor needs it.
+		c.send(from, CellUpdate{Cell: c.cellProposal, Provisional: true})
+	}
+	if ack && c.now >= c.joining.quiet {
+		c.lastStamp[from] = m.Stamp
+		c.send(from, c.ack(m.Stamp))
+	}
+}
+
+func (c *Core) ack(stamp lease.Stamp) HeartbeatAck {
+	a := HeartbeatAck{Stamp: stamp, CellVersion: c.highestCell()}
+	for _, s := range c.contact.Silent(c.now) {
+		a.Silent = append(a.Silent, s.ID)
+		a.SilentFor = append(a.SilentFor, s.For)
+	}
+	if len(c.order) > 0 {
+		a.Assignments = make(map[string]uint64, len(c.order))
+		for _, s := range c.order {
+			a.Assignments[s.name] = s.highest()
+		}
+	}
+	return a
+}
+
+// highestCell is the highest version that this member has acknowledged.
+func (c *Core) highestCell() uint64 {
+	if c.cellProposal != nil {
+		return max(c.cell.Version, c.cellProposal.Version)
+	}
+	return c.cell.Version
+}
+
+// repeatAcks answers the newest heartbeat of each member again, so that a newly
+// noticed silence reaches them at once.
+func (c *Core) repeatAcks() {
+	for _, m := range c.cell.Members {
+		if s := c.lastStamp[m.ID]; s > 0 && !c.contact.Suspended(c.now, m.ID) {
+			c.send(m.ID, c.ack(s))
+		}
+	}
+}
+
+func (c *Core) onAck(from string, m HeartbeatAck) {
+	if !c.member() {
+		return
+	}
+	c.contact.Acked(c.now, from, lease.Instant(m.Stamp), m.CellVersion, silences(m)) //nolint:gosec // checked against now by the tracker
+	for _, s := range c.order {
+		v := m.Assignments[s.name]
+		if v > s.version() && c.now >= s.askAt {
+			s.askAt = c.now + c.cfg.HeartbeatInterval
+			c.send(from, AssignmentRequest{Service: s.name})
+		}
+		s.heard(from, v)
+	}
+}
--- /dev/null
+++ b/ownership/plan_cell.go
@@ -0,0 +1,258 @@
+package ownership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/boragegate/boragegate/platform"
+)
+
+// planCell brings the cell record up to date, one change at a time.
+func (c *Core) planCell(due bool) {
+	p := c.plan
+	if p.cellChange == nil && c.cell.Version > c.cellSlot.stored {
+		// A member acted in place of the planner while the store was down.
+		p.cellChange = &change{slot: c.cellSlot, cell: c.cell, version: c.cell.Version, inForce: true, provisional: true}
+	}
+	c.advanceChange(p.cellChange, p.blocked(p.cellChange))
+	if c.plan != p || p.cellChange.pending() {
+		return
+	}
+	if p.cellChange != nil && p.cellChange.done() {
+		p.cellChange = nil
+	}
+	next := c.cell.Clone()
+	changed := c.planControllers(next, due)
+	members := false
+	if !changed && p.cellChange == nil && !c.cellSlot.failed && c.contact.AdoptedBy(c.cell.Version) >= c.cell.Majority() {
+		members = c.planMembers(next)
+	}
+	if !changed && !members {
+		return
+	}
+	next.Version = nextCellVersion(c.cell.Version, next.PlannerTerm, 0)
+	p.cellChange = &change{
+		slot: c.cellSlot, cell: next, base: c.cell.Version, version: next.Version,
+		expect: c.cellSlot.seen, storeOnly: members,
+	}
+	c.advanceChange(p.cellChange, p.blocked(p.cellChange))
+}
+
+// planControllers names controllers for targets that have none or whose
+// controller is lost or leaving, and removes those of targets that are gone.
+func (c *Core) planControllers(next *Cell, due bool) (changed bool) {
+	can, lost := c.candidates(next)
+	if len(can) == 0 {
+		return false
+	}
+	s := newSpread(c, next, can)
+	for i := range next.Controllers {
+		r := &next.Controllers[i]
+		info := c.plan.info(r.Target)
+		switch {
+		case lost[r.Instance] || c.plan.leaving[r.Instance] || s.count(r.Instance) < 0:
+			c.rename(s, r, r.Term+1)
+			changed = true
+		case info.seenTerm > r.Term:
+			c.rename(s, r, info.seenTerm+1)
+			changed = true
+		case r.KeepSet && c.fenced(serviceOf(r.Target)):
+			r.KeepSet, r.MinVersion, changed = false, c.headVersion(r.Target), true
+		}
+	}
+	if due {
+		changed = c.addControllers(next, s) || changed
+		changed = c.removeControllers(next) || changed
+		if !changed {
+			changed = c.rebalance(next, s)
+		}
+	}
+	return changed
+}
+
+// rename gives a target another controller. What the old one released is void,
+// so the new one needs the newest assignment that may be in force.
+func (c *Core) rename(s *spread, r *Controller, term uint64) {
+	to := s.pick(r.Target)
+	c.record(true, "controller.named", "target", r.Target, "from", r.Instance, "to", to, "term", term)
+	r.Instance, r.Term, r.KeepSet, r.MinVersion = to, term, false, c.headVersion(r.Target)
+}
+
+// headVersion is the highest version of the target's assignment that may be in force.
+func (c *Core) headVersion(target string) uint64 {
+	sp := c.plan.services[serviceOf(target)]
+	if sp == nil {
+		return 0
+	}
+	if sp.change != nil && sp.fenced {
+		return max(sp.change.version, sp.s.version())
+	}
+	return sp.s.version()
+}
+
+func (c *Core) fenced(service string) bool {
+	sp := c.plan.services[service]
+	return sp != nil && sp.fenced
+}
+
+// candidates returns the members that may control targets and those that are lost.
+func (c *Core) candidates(cell *Cell) (can []Member, lost map[string]bool) {
+	for _, m := range cell.Members {
+		if gone, _ := c.lost(m.ID); gone {
+			if lost == nil {
+				lost = map[string]bool{}
+			}
+			lost[m.ID] = true
+			continue
+		}
+		if !c.plan.leaving[m.ID] {
+			can = append(can, m)
+		}
+	}
+	return can, lost
+}
+
+func (c *Core) addControllers(next *Cell, s *spread) (changed bool) {
+	for _, row := range c.table.Rows {
+		id := row.ID()
+		if _, ok := next.Controller(id); ok {
+			continue
+		}
+		to := s.pick(id)
+		next.Controllers = append(next.Controllers, Controller{Target: id, Instance: to, Term: 1, MinVersion: c.headVersion(id)})
+		c.record(true, "controller.named", "target", id, "to", to, "term", 1)
+		changed = true
+	}
+	slices.SortFunc(next.Controllers, func(a, b Controller) int { return strings.Compare(a.Target, b.Target) })
+	return changed
+}
+
+// removeControllers drops targets that left the table and own nothing any more.
+func (c *Core) removeControllers(next *Cell) bool {
+	n := len(next.Controllers)
+	next.Controllers = slices.DeleteFunc(next.Controllers, func(r Controller) bool {
+		if _, ok := c.row(r.Target); ok {
+			return false
+		}
+		svc, ok := c.tableService(serviceOf(r.Target))
+		sp := c.plan.services[serviceOf(r.Target)]
+		if ok && svc.Leased() && (sp == nil || !sp.fenced || sp.change.pending()) {
+			return false
+		}
+		if ok && sp != nil && sp.s.a != nil && len(sp.s.a.PartitionsOf(targetName(r.Target))) > 0 {
+			return false
+		}
+		c.record(true, "controller.removed", "target", r.Target, "term", r.Term)
+		return true
+	})
+	return len(next.Controllers) < n
+}
+
+// rebalance hands targets to members that control two or more fewer than others.
+func (c *Core) rebalance(next *Cell, s *spread) (changed bool) {
+	for range next.Controllers {
+		from, to := s.extremes()
+		if s.count(from)-s.count(to) < 2 {
+			break
+		}
+		best := -1
+		for i, r := range next.Controllers {
+			if r.Instance != from || c.plan.info(r.Target).state != TargetHeld {
+				continue
+			}
+			if best < 0 || s.zone[to] != c.rows[r.Target].Zone && s.zone[to] == c.rows[next.Controllers[best].Target].Zone {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		r := &next.Controllers[best]
+		s.move(from, to)
+		c.record(true, "controller.named", "target", r.Target, "from", from, "to", to, "term", r.Term+1)
+		r.Instance, r.Term, r.MinVersion = to, r.Term+1, c.headVersion(r.Target)
+		changed = true
+	}
+	return changed
+}
+
+// planMembers adds or removes one member, or hands on the planner's role. Only
+// one member changes at a time, so consecutive majorities overlap.
+func (c *Core) planMembers(next *Cell) bool {
+	p := c.plan
+	if p.blocked(nil) {
+		return false
+	}
+	if len(p.joiners) > 0 {
+		m := p.joiners[0]
+		p.joiners = p.joiners[1:]
+		if i := slices.IndexFunc(next.Members, func(o Member) bool { return o.ID == m.ID }); i >= 0 {
+			next.Members[i] = m
+			c.restartControllers(next, m.ID)
+		} else {
+			next.Members = append(next.Members, m)
+		}
+		delete(p.leaving, m.ID)
+		c.record(true, "member.added", "id", m.ID, "zone", m.Zone)
+		return true
+	}
+	for i, m := range next.Members {
+		if m.ID == c.cfg.Self.ID || !c.removable(m.ID) {
+			continue
+		}
+		next.Members = slices.Delete(next.Members, i, i+1)
+		c.record(true, "member.removed", "id", m.ID)
+		return true
+	}
+	return p.leaving[c.cfg.Self.ID] && c.handOver(next)
+}
+
+// restartControllers raises the terms of targets whose controller restarted.
+func (c *Core) restartControllers(next *Cell, id string) {
+	for i := range next.Controllers {
+		if r := &next.Controllers[i]; r.Instance == id {
+			r.Term, r.KeepSet, r.MinVersion = r.Term+1, false, c.headVersion(r.Target)
+		}
+	}
+}
+
+// removable reports whether a member may leave the record: it asked to and
+// controls nothing, or it is silent and the platform does not list it as live,
+// within the loss bound.
+func (c *Core) removable(id string) bool {
+	for _, r := range c.cell.Controllers {
+		if r.Instance == id {
+			return false
+		}
+	}
+	if c.plan.leaving[id] {
+		return true
+	}
+	lost, _ := c.lost(id)
+	if !lost || !c.joining.listed || c.instances[id] == platform.Live || c.now < c.plan.removedAt+c.cfg.RemoveInterval {
+		return false
+	}
+	c.plan.removedAt = c.now
+	return true
+}
+
+// handOver names another planner when this one leaves and nothing is pending.
+func (c *Core) handOver(next *Cell) bool {
+	for _, sp := range c.plan.services {
+		if sp.change.pending() {
+			return false
+		}
+	}
+	for _, r := range next.Controllers {
+		if r.Instance == c.cfg.Self.ID {
+			return false
+		}
+	}
+	can, _ := c.candidates(next)
+	if len(can) == 0 {
+		return false
+	}
+	next.Planner, next.PlannerTerm = can[0].ID, next.PlannerTerm+1
+	c.record(true, "planner.handed_over", "to", next.Planner, "term", next.PlannerTerm)
+	return true
+}
--- /dev/null
+++ b/ownership/plan_partitions.go
@@ -0,0 +1,278 @@
+package ownership
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/table"
+)
+
+// defaultPartitions is the number of partitions of a service that does not say.
+const defaultPartitions = 1024
+
+// advanceService recovers, fences and plans one service.
+func (c *Core) advanceService(sp *servicePlan, due bool) {
+	if sp.change.pending() || sp.change != nil && !sp.change.done() {
+		c.advanceChange(sp.change, c.plan.blocked(sp.change))
+	}
+	if sp.change.pending() {
+		c.refence(sp)
+		return
+	}
+	switch {
+	case !sp.fenced && sp.change != nil:
+		sp.fenced, sp.due = true, c.now
+	case !sp.fenced:
+		c.recover(sp)
+		return
+	}
+	c.sendOrders(sp)
+	if due || sp.due <= c.now {
+		sp.due = c.now + c.cfg.PlanInterval
+		c.planService(sp)
+	}
+}
+
+// recover asks a majority for the highest assignment that they keep and reads
+// the store, then writes the highest as the first version of this term.
+func (c *Core) recover(sp *servicePlan) {
+	sl := sp.s.slot
+	if !sl.read {
+		c.overdue(sl)
+		if sl.ready(c.now) {
+			c.readObject(sl)
+		}
+	}
+	if c.now >= sp.askAt {
+		sp.askAt = c.now + c.cfg.TickInterval
+		sp.states[c.cfg.Self.ID] = sp.s.newest()
+		for _, m := range c.cell.Members {
+			if _, ok := sp.states[m.ID]; !ok {
+				c.send(m.ID, AssignmentRequest{Service: sp.s.name, Recover: c.plan.term})
+			}
+		}
+	}
+	svc, ok := c.tableService(sp.s.name)
+	if !sl.read || len(sp.states) < c.cell.Majority() || !ok {
+		return
+	}
+	var base *placement.Assignment
+	if sl.version > 0 {
+		base = sp.s.fromStore
+	}
+	for _, a := range sp.states {
+		if a != nil && (base == nil || a.Version > base.Version) {
+			base = a
+		}
+	}
+	if base == nil {
+		base = placement.NewAssignment(sp.s.name, partitionsOf(svc))
+	}
+	if base.Version >= (c.plan.term+1)<<32 {
+		return // a newer planner exists
+	}
+	c.startChange(sp, base, nil)
+	sp.change.storeOnly, sp.change.expect = true, sl.seen
+}
+
+// refence starts the recovery again if an older planner wrote before the fence.
+func (c *Core) refence(sp *servicePlan) {
+	sl := sp.s.slot
+	if !sp.fenced && sl.read && sl.seen != sp.change.expect && sl.seen>>32 < c.plan.term {
+		sp.change = nil
+	}
+}
+
+func (c *Core) onAssignmentState(from string, m AssignmentState) {
+	if c.plan == nil || m.Term != c.plan.term || c.plan.services[m.Service] == nil {
+		return
+	}
+	if _, ok := c.cell.Member(from); ok {
+		c.plan.services[m.Service].states[from] = m.Highest
+	}
+}
+
+func partitionsOf(s table.Service) int {
+	if s.Partitions > 0 {
+		return s.Partitions
+	}
+	return defaultPartitions
+}
+
+// startChange brings the next version of the assignment on its way.
+func (c *Core) startChange(sp *servicePlan, base *placement.Assignment, changes []placement.Change) {
+	version := base.Version + 1
+	if version>>32 < c.plan.term {
+		version = c.plan.term<<32 | 1
+	}
+	next := base.With(version, changes)
+	sp.change = &change{
+		slot: sp.s.slot, a: next, base: base.Version, version: version,
+		delta: placement.Delta{Service: sp.s.name, From: base.Version, To: version, Changes: changes},
+	}
+	c.advanceChange(sp.change, c.plan.blocked(sp.change))
+}
+
+// planService asks the policy and starts what can be done now.
+func (c *Core) planService(sp *servicePlan) {
+	svc, ok := c.tableService(sp.s.name)
+	a := sp.s.a
+	if !ok {
+		svc = table.Service{Name: sp.s.name}
+	}
+	targets, settled := c.policyTargets(svc, a)
+	plan := sp.policy.Plan(placement.Input{
+		Now: c.now, Assignment: a, Targets: targets, Load: sp.load,
+		PreferStability: svc.Prefer == table.Stability, InFlight: len(sp.moving),
+	})
+	usable := map[string]bool{}
+	for _, t := range targets {
+		usable[t.Name] = t.Usable && !t.Leaving
+	}
+	changes := map[int]string{}
+	for _, u := range plan.Urgent {
+		if usable[u.Target] && c.free(sp, a, u.Partition) && (settled || a.OwnerOf(u.Partition) != "") {
+			changes[u.Partition] = u.Target
+		}
+	}
+	c.finishMoves(sp, usable, changes)
+	c.regrant(sp, usable, changes)
+	c.startMoves(sp, plan, usable, changes)
+	if len(changes) == 0 {
+		return
+	}
+	list := make([]placement.Change, 0, len(changes))
+	for _, p := range slices.Sorted(maps.Keys(changes)) {
+		list = append(list, placement.Change{Partition: p, Target: changes[p]})
+		delete(sp.moving, p)
+	}
+	c.startChange(sp, a, list)
+}
+
+// policyTargets describes the targets of a service to its policy: those of the
+// table, then those that left it and still own partitions. settled says that
+// every target has been heard of or had the time for it.
+func (c *Core) policyTargets(svc table.Service, a *placement.Assignment) (list []placement.Target, settled bool) {
+	settled = true
+	known := map[string]bool{}
+	for _, r := range c.table.RowsOf(svc.Name) {
+		i := c.plan.info(r.ID())
+		known[r.Target] = true
+		settled = settled && i.state != TargetUnknown
+		list = append(list, placement.Target{
+			Name: r.Target, Zone: r.Zone, Weight: r.Weight, Slots: r.Slots, Lost: i.state == TargetLapsed,
+			Leaving: r.Drain || i.draining, Usable: i.state == TargetHeld && r.Weight > 0 && !r.Drain && !i.draining,
+		})
+	}
+	for _, name := range a.Targets {
+		if known[name] {
+			continue
+		}
+		i := c.plan.info(svc.Name + "/" + name)
+		list = append(list, placement.Target{
+			Name: name, Zone: c.rows[svc.Name+"/"+name].Zone, Lost: i.state == TargetLapsed, Leaving: true,
+		})
+	}
+	return list, settled || c.now >= c.plan.since+c.cfg.Settle
+}
+
+// free reports whether a partition can be given to anybody: it has no owner, its
+// owner's lease has lapsed, or its owner has released it, under the present
+// controller and epoch.
+func (c *Core) free(sp *servicePlan, a *placement.Assignment, p int) bool {
+	owner := a.OwnerOf(p)
+	if owner == "" {
+		return true
+	}
+	i := c.plan.info(sp.s.name + "/" + owner)
+	return a.Epoch[p] <= i.version && (i.state == TargetLapsed || i.released[p])
+}
+
+// finishMoves records released partitions at their new owners. If the new owner
+// has become unusable, the partition goes to another target.
+func (c *Core) finishMoves(sp *servicePlan, usable map[string]bool, changes map[int]string) {
+	for p, m := range sp.moving {
+		_, done := changes[p]
+		switch {
+		case done || sp.s.a.OwnerOf(p) != m.From:
+			delete(sp.moving, p)
+		case !c.free(sp, sp.s.a, p):
+		case usable[m.Target]:
+			changes[p] = m.Target
+		}
+	}
+}
+
+// regrant gives partitions back that their owner has released without a move,
+// for example after its lease lapsed and it returned.
+func (c *Core) regrant(sp *servicePlan, usable map[string]bool, changes map[int]string) {
+	a := sp.s.a
+	for id, i := range c.plan.targets {
+		if serviceOf(id) != sp.s.name || i.state != TargetHeld {
+			continue
+		}
+		name := targetName(id)
+		to := name
+		if !usable[name] {
+			to = fewest(a, usable)
+		}
+		for p := range i.released {
+			if _, done := changes[p]; done || to == "" || p >= len(a.Owner) || a.OwnerOf(p) != name || !c.free(sp, a, p) {
+				continue
+			}
+			changes[p] = to
+		}
+	}
+}
+
+// fewest returns the usable target with the fewest partitions, or "".
+func fewest(a *placement.Assignment, usable map[string]bool) string {
+	best, least := "", 0
+	for _, name := range slices.Sorted(maps.Keys(usable)) {
+		if n := len(a.PartitionsOf(name)); usable[name] && (best == "" || n < least) {
+			best, least = name, n
+		}
+	}
+	return best
+}
+
+// startMoves orders the release of partitions that the policy wants to move.
+func (c *Core) startMoves(sp *servicePlan, plan placement.Plan, usable map[string]bool, changes map[int]string) {
+	for _, m := range plan.Moves {
+		if _, busy := sp.moving[m.Partition]; busy {
+			continue
+		}
+		if _, busy := changes[m.Partition]; busy || !usable[m.Target] || sp.s.a.OwnerOf(m.Partition) != m.From {
+			continue
+		}
+		if c.free(sp, sp.s.a, m.Partition) {
+			changes[m.Partition] = m.Target
+			continue
+		}
+		sp.moving[m.Partition] = m
+		sp.orderAt = c.now
+	}
+	sp.waiting = plan.Deferred
+	c.viewDirty = c.viewDirty || len(sp.moving) > 0 || len(sp.waiting) > 0
+	c.sendOrders(sp)
+}
+
+// sendOrders asks the controllers for the releases that moves wait for.
+func (c *Core) sendOrders(sp *servicePlan) {
+	if len(sp.moving) == 0 || c.now < sp.orderAt {
+		return
+	}
+	sp.orderAt = c.now + c.cfg.ReportInterval
+	orders := map[string][]int{}
+	for p, m := range sp.moving {
+		orders[m.From] = append(orders[m.From], p)
+	}
+	for _, from := range slices.Sorted(maps.Keys(orders)) {
+		id := sp.s.name + "/" + from
+		if r, ok := c.cell.Controller(id); ok {
+			slices.Sort(orders[from])
+			c.send(r.Instance, ReleaseOrder{Target: id, Term: r.Term, Partitions: orders[from]})
+		}
+	}
+}
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -15,6 +15,9 @@
 	Zone           string `json:"zone" msgpack:"z"`
 	PeerAddress    string `json:"peer_address" msgpack:"p"`
 	ForwardAddress string `json:"forward_address" msgpack:"f"`
+	// Incarnation tells the process of the member from earlier ones with the same
+	// ID, which have forgotten what they acknowledged.
+	Incarnation string `json:"incarnation,omitempty" msgpack:"n"`
 }
 
 // Controller names the instance in front of a target.
@@ -25,6 +28,12 @@
 	Instance string `json:"instance" msgpack:"i"`
 	// Term is the fencing token; it rises with every change of the instance.
 	Term uint64 `json:"term" msgpack:"n"`
+	// MinVersion is the version of the service's assignment that the instance needs
+	// before it grants anything.
+	MinVersion uint64 `json:"min_version,omitempty" msgpack:"v"`
+	// KeepSet says that the instance was named without the planner: it renews what
+	// the server holds and grants nothing until a newer planner is in office.
+	KeepSet bool `json:"keep_set,omitempty" msgpack:"k"`
 }
 
 // Cell is the record of a cell: object "cell/<name>" in the store.
--- /dev/null
+++ b/ownership/store.go
@@ -0,0 +1,142 @@
+package ownership
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/platform"
+)
+
+// Kinds of the objects that the core reads and writes.
+const (
+	kindCell       = "cell"
+	kindAssignment = "assignment"
+)
+
+// abandonAfter is the number of store time-outs after which a call that was
+// never answered is given up; a write of it is still recognised by its writer.
+const abandonAfter = 20
+
+// slot is one store object with at most one call outstanding.
+type slot struct {
+	kind, name string
+	service    string
+	// version is the store's newest known version; 0 before the first read and if absent.
+	version platform.Version
+	// read says that the object was read since the start of this process.
+	read    bool
+	op      uint64
+	issued  lease.Instant
+	writing uint64 // record version of the outstanding write, 0 for a read
+	seen    uint64 // record version that the store had last
+	failed  bool   // the last call failed or timed out
+	retryAt lease.Instant
+	// stored is the highest record version that the store is known to have.
+	stored uint64
+}
+
+// ready reports whether a call may be issued.
+func (s *slot) ready(now lease.Instant) bool { return s.op == 0 && now >= s.retryAt }
+
+func (c *Core) readObject(s *slot) {
+	s.op, s.issued, s.writing = c.nextID(), c.now, 0
+	c.ops[s.op] = s
+	c.emit(ReadObject{ID: s.op, Kind: s.kind, Name: s.name})
+}
+
+// writeObject writes a record at the version. The writer identifies record and
+// process, so a write whose reply was lost is recognised.
+func (c *Core) writeObject(s *slot, version uint64, v any) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // records hold only strings and numbers
+	}
+	s.op, s.issued, s.writing = c.nextID(), c.now, version
+	c.ops[s.op] = s
+	c.emit(WriteObject{ID: s.op, Object: platform.Object{
+		Kind: s.kind, Name: s.name, Version: s.version, Writer: c.writer(version), Value: value,
+	}})
+}
+
+func (c *Core) writer(version uint64) string {
+	return c.cfg.Incarnation + "/" + strconv.FormatUint(version, 10)
+}
+
+// own returns the record version of a write of this process.
+func (c *Core) own(writer string) (uint64, bool) {
+	rest, ok := strings.CutPrefix(writer, c.cfg.Incarnation+"/")
+	if !ok {
+		return 0, false
+	}
+	v, err := strconv.ParseUint(rest, 10, 64)
+	return v, err == nil
+}
+
+// overdue marks a slot failed whose call has not been answered in time. The call
+// stays outstanding: its late reply is still used.
+func (c *Core) overdue(s *slot) bool {
+	if s.op != 0 && c.now-s.issued >= c.cfg.StoreTimeout {
+		s.failed = true
+	}
+	if s.op != 0 && c.now-s.issued >= abandonAfter*c.cfg.StoreTimeout {
+		delete(c.ops, s.op)
+		s.op = 0
+	}
+	return s.failed
+}
+
+func (c *Core) onStore(e StoreReplied) {
+	s := c.ops[e.ID]
+	if s == nil {
+		return
+	}
+	delete(c.ops, e.ID)
+	s.op = 0
+	wrote := s.writing
+	known := e.Object.Version > 0 || e.Err == nil || errors.Is(e.Err, platform.ErrNotFound)
+	s.failed = !known
+	if errors.Is(e.Err, platform.ErrConflict) && e.Object.Version == 0 {
+		s.read = false
+	}
+	if !known {
+		s.retryAt = c.now + c.cfg.StoreRetry
+		return
+	}
+	s.retryAt = 0
+	if e.Object.Version < s.version {
+		if e.Err != nil || wrote == 0 {
+			s.retryAt = c.now + c.cfg.StoreRetry // an older object: read again later
+		}
+		return
+	}
+	s.version, s.read = e.Object.Version, true
+	if v, ok := c.own(e.Object.Writer); ok {
+		s.stored = max(s.stored, v)
+	}
+	if wrote > 0 && e.Err == nil {
+		s.stored, s.seen = max(s.stored, wrote), wrote
+		return
+	}
+	if e.Object.Version > 0 {
+		c.observe(s, e.Object)
+	}
+}
+
+// observe adopts what the store has.
+func (c *Core) observe(s *slot, o platform.Object) {
+	switch s.kind {
+	case kindCell:
+		cell := &Cell{}
+		if json.Unmarshal(o.Value, cell) != nil {
+			c.record(false, "store.malformed", "kind", o.Kind, "name", o.Name)
+			return
+		}
+		s.stored, s.seen = max(s.stored, cell.Version), cell.Version
+		c.adoptCell(cell, false)
+	case kindAssignment:
+		c.observeAssignment(s, o)
+	}
+}
