--- /dev/null
+++ b/examples/backend/main.go
@@ -0,0 +1,54 @@
+// Command backend is a sample backend server for boragegate.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/boragegate/boragegate/examples/backend/server"
+)
+
+// stopTimeout bounds the time that requests in flight get at a stop.
+const stopTimeout = 30 * time.Second
+
+func main() {
+	var cfg server.Config
+	var listen string
+	cmd := &cobra.Command{
+		Use:     "backend",
+		Short:   "Run a sample backend server",
+		Example: "  go run ./examples/backend --listen 127.0.0.1:9001 --service route --target r1",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.Context(), cfg, listen)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:9001", "address to listen on")
+	f.StringVar(&cfg.Service, "service", "route", "name of the service in the table")
+	f.StringVar(&cfg.Target, "target", "r1", "name of the target in the table")
+	f.IntVar(&cfg.Slots, "slots", 6, "requests that run at a time")
+	f.DurationVar(&cfg.WorkTime, "work", time.Millisecond, "time that a request takes")
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, cfg server.Config, listen string) error {
+	s := server.New(cfg)
+	if err := s.Start(listen); err != nil {
+		return err
+	}
+	fmt.Printf("listening on %s\n", s.Address())
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return s.Stop(stop)
+}
--- /dev/null
+++ b/examples/backend/server/application.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/boragegate/boragegate/lease"
+)
+
+// Headers of the contract.
+const (
+	headerKey            = "Boragegate-Key"
+	headerPartition      = "Boragegate-Partition"
+	headerEpoch          = "Boragegate-Epoch"
+	headerOutcome        = "Boragegate-Outcome"
+	headerIdempotencyKey = "Idempotency-Key"
+	outcomeNotRun        = "not-run"
+)
+
+func stampOf(i lease.Instant) lease.Stamp { return lease.Stamp(i) } //nolint:gosec // instants are not negative
+
+// answer is the body of the sample application's answers.
+type answer struct {
+	Target string `json:"target"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Key    string `json:"key,omitempty"`
+	Epoch  uint64 `json:"epoch,omitempty"`
+	// Count is the number of changes to the key at this server.
+	Count uint64 `json:"count"`
+}
+
+func (s *Server) handleApplication(w http.ResponseWriter, r *http.Request) {
+	leave, status := s.enter(r)
+	if status != 0 {
+		refuse(w, status)
+		return
+	}
+	defer leave()
+	begin := time.Now()
+	select {
+	case <-time.After(s.cfg.WorkTime):
+	case <-r.Context().Done():
+		return
+	}
+	// The time is taken before the lease is checked: an effect never counts as
+	// later than the lease that allowed it.
+	end := time.Now()
+	count, ok := s.commit(r)
+	if !ok {
+		refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	s.observe(r, begin, end)
+	writeJSON(w, http.StatusOK, answer{
+		Target: s.cfg.Target,
+		Method: r.Method,
+		Path:   r.URL.Path,
+		Key:    r.Header.Get(headerKey),
+		Epoch:  epochOf(r),
+		Count:  count,
+	})
+}
+
+// enter admits a request: it checks the grant, waits for a slot, and returns a
+// function that gives the slot back, or the status to refuse with.
+func (s *Server) enter(r *http.Request) (func(), int) {
+	partition, keyed := partitionOf(r)
+	s.mu.Lock()
+	if keyed && !s.grants.holds(s.now(), partition, epochOf(r)) {
+		s.mu.Unlock()
+		return nil, http.StatusMisdirectedRequest
+	}
+	if s.queued >= s.cfg.QueueLimit {
+		s.mu.Unlock()
+		return nil, http.StatusServiceUnavailable
+	}
+	if keyed {
+		s.grants.begin(partition)
+	}
+	s.queued++
+	s.mu.Unlock()
+
+	admitted := true
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		admitted = false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued--
+	if !admitted {
+		if keyed {
+			s.grants.end(partition)
+		}
+		return nil, http.StatusServiceUnavailable
+	}
+	s.running++
+	return func() { s.leave(partition, keyed) }, 0
+}
+
+func (s *Server) leave(partition int, keyed bool) {
+	<-s.slots
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	if keyed {
+		s.grants.end(partition)
+	}
+}
+
+// commit checks the lease again and applies the effect. A request that began
+// before its partition was released still counts: the release waits for it.
+func (s *Server) commit(r *http.Request) (uint64, bool) {
+	partition, keyed := partitionOf(r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if keyed && (!s.grants.holder.Valid(s.now()) || s.grants.seen[partition] != epochOf(r)) {
+		return 0, false
+	}
+	key := r.Header.Get(headerKey)
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		s.keys[key]++
+	}
+	return s.keys[key], true
+}
+
+func (s *Server) observe(r *http.Request, begin, end time.Time) {
+	if s.cfg.Observe == nil {
+		return
+	}
+	partition, _ := partitionOf(r)
+	s.cfg.Observe(Effect{
+		Target:         s.cfg.Target,
+		Key:            r.Header.Get(headerKey),
+		Partition:      partition,
+		Epoch:          epochOf(r),
+		Method:         r.Method,
+		IdempotencyKey: r.Header.Get(headerIdempotencyKey),
+		Begin:          begin,
+		End:            end,
+	})
+}
+
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(headerOutcome, outcomeNotRun)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+}
+
+func partitionOf(r *http.Request) (int, bool) {
+	p, err := strconv.Atoi(r.Header.Get(headerPartition))
+	return p, err == nil
+}
+
+func epochOf(r *http.Request) uint64 {
+	e, _ := strconv.ParseUint(r.Header.Get(headerEpoch), 10, 64)
+	return e
+}
--- /dev/null
+++ b/examples/backend/server/contract.go
@@ -0,0 +1,171 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/boragegate/boragegate/ownership"
+)
+
+const (
+	// maxWait bounds the time for which a reply to a renewal is held.
+	maxWait = 5 * time.Second
+	// maxContractBody bounds the body of a contract request in bytes; the grants
+	// of 65,536 partitions fit.
+	maxContractBody = 8 << 20
+	// maxPartition bounds partition numbers, so that a malformed range cannot
+	// occupy the server.
+	maxPartition = 1 << 16
+)
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (s *Server) handleLease(w http.ResponseWriter, r *http.Request) {
+	req, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	if !s.grants.acceptTerm(req.Term) {
+		s.refuseStale(w)
+		return
+	}
+	s.grants.renew(s.now(), req, s.boot)
+	s.grants.change(req)
+	s.mu.Unlock()
+
+	if len(req.Grants) == 0 && len(req.Removals) == 0 && !req.Replace {
+		hold(r, milliseconds(req.WaitMS))
+	}
+	s.mu.Lock()
+	if req.Term < s.grants.term {
+		s.refuseStale(w)
+		return
+	}
+	reply := s.reply(false)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (s *Server) handleRelease(w http.ResponseWriter, r *http.Request) {
+	req, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	if !s.grants.acceptTerm(req.Term) {
+		s.refuseStale(w)
+		return
+	}
+	s.grants.change(ownership.ServerRequest{Set: req.Set, Removals: req.Removals})
+	for s.grants.busy(req.Removals) {
+		released := s.grants.released
+		s.mu.Unlock()
+		select {
+		case <-released:
+		case <-r.Context().Done():
+			return
+		}
+		s.mu.Lock()
+	}
+	reply := s.reply(true)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
+	req, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	if !s.grants.acceptTerm(req.Term) {
+		s.refuseStale(w)
+		return
+	}
+	s.grants.draining = true
+	reply := s.reply(false)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]string{"state": s.grants.state(), "boot": s.boot})
+}
+
+// loadReply is the answer of the load endpoint.
+type loadReply struct {
+	InFlight    int     `json:"in_flight"`
+	Queued      int     `json:"queued"`
+	Utilization float64 `json:"utilization"`
+	AgeMS       int64   `json:"age_ms"`
+}
+
+func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, http.StatusOK, loadReply{
+		InFlight:    s.running,
+		Queued:      s.queued,
+		Utilization: float64(s.running) / float64(s.cfg.Slots),
+	})
+}
+
+// reply is called with the mutex held.
+func (s *Server) reply(released bool) ownership.ServerReply {
+	return ownership.ServerReply{
+		Boot:     s.boot,
+		Stamp:    stampOf(s.now()),
+		Term:     s.grants.term,
+		Set:      s.grants.set,
+		MaxEpoch: s.grants.maxEpoch,
+		InFlight: s.running,
+		State:    s.grants.state(),
+		Released: released,
+	}
+}
+
+// refuseStale releases the mutex and answers that the term is too low.
+func (s *Server) refuseStale(w http.ResponseWriter) {
+	term := s.grants.term
+	s.mu.Unlock()
+	writeJSON(w, http.StatusConflict, map[string]any{"error": "stale-term", "term": term})
+}
+
+// hold waits for the duration or until the caller is gone.
+func hold(r *http.Request, d time.Duration) {
+	t := time.NewTimer(min(d, maxWait))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request) (ownership.ServerRequest, bool) {
+	var req ownership.ServerRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxContractBody)).Decode(&req)
+	if err != nil || !validRanges(req.Grants) || !validRanges(req.Removals) {
+		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "malformed"})
+		return req, false
+	}
+	return req, true
+}
+
+func validRanges(ranges []ownership.Range) bool {
+	for _, rg := range ranges {
+		if rg.From < 0 || rg.To < rg.From || rg.To >= maxPartition {
+			return false
+		}
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/examples/backend/server/grants.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/ownership"
+)
+
+// States that the server reports.
+const (
+	stateOK       = "ok"
+	stateDraining = "draining"
+)
+
+// grantSet is what the server holds: a lease from the highest term that it has
+// seen, and the epoch of each granted partition.
+type grantSet struct {
+	holder   *lease.Holder
+	length   int64
+	term     uint64
+	set      uint64
+	maxEpoch uint64
+	held     map[int]uint64
+	// seen keeps the highest epoch of every partition that was ever granted, so
+	// that a delayed grant cannot bring an older epoch back.
+	seen     map[int]uint64
+	inFlight map[int]int
+	draining bool
+	// released is closed and replaced whenever a request ends.
+	released chan struct{}
+}
+
+func newGrantSet() grantSet {
+	return grantSet{
+		held:     map[int]uint64{},
+		seen:     map[int]uint64{},
+		inFlight: map[int]int{},
+		released: make(chan struct{}),
+	}
+}
+
+// acceptTerm reports whether the term is not lower than the highest one seen. A
+// higher term starts a new numbering of sets.
+func (g *grantSet) acceptTerm(term uint64) bool {
+	if term < g.term {
+		return false
+	}
+	if term > g.term {
+		g.term, g.set = term, 0
+	}
+	return true
+}
+
+// renew extends the lease from the stamp that the request answers.
+func (g *grantSet) renew(now lease.Instant, r ownership.ServerRequest, boot string) {
+	if g.holder == nil || g.length != r.LeaseMS {
+		terms := lease.DefaultTerms
+		terms.Length = milliseconds(r.LeaseMS)
+		g.holder, g.length = lease.NewHolder(terms), r.LeaseMS
+	}
+	if r.Boot == boot && r.Answers > 0 {
+		g.holder.Renew(now, r.Answers)
+	}
+}
+
+// change applies the grants and removals of a request unless it is older than
+// the set that the server has.
+func (g *grantSet) change(r ownership.ServerRequest) {
+	if r.Set <= g.set {
+		return
+	}
+	g.set = r.Set
+	if r.Replace {
+		clear(g.held)
+	}
+	g.remove(r.Removals)
+	for _, rg := range r.Grants {
+		for p := rg.From; p <= rg.To; p++ {
+			g.grant(p, rg.Epoch)
+		}
+	}
+}
+
+func (g *grantSet) grant(partition int, epoch uint64) {
+	if epoch < g.seen[partition] {
+		return
+	}
+	g.seen[partition] = epoch
+	g.held[partition] = epoch
+	g.maxEpoch = max(g.maxEpoch, epoch)
+}
+
+func (g *grantSet) remove(ranges []ownership.Range) {
+	for _, rg := range ranges {
+		for p := rg.From; p <= rg.To; p++ {
+			delete(g.held, p)
+		}
+	}
+}
+
+// holds reports whether the partition is held at the epoch under a valid lease.
+func (g *grantSet) holds(now lease.Instant, partition int, epoch uint64) bool {
+	e, ok := g.held[partition]
+	return ok && e == epoch && g.holder != nil && g.holder.Valid(now)
+}
+
+func (g *grantSet) begin(partition int) { g.inFlight[partition]++ }
+
+func (g *grantSet) end(partition int) {
+	g.inFlight[partition]--
+	if g.inFlight[partition] == 0 {
+		delete(g.inFlight, partition)
+	}
+	close(g.released)
+	g.released = make(chan struct{})
+}
+
+// busy reports whether a request runs for one of the partitions.
+func (g *grantSet) busy(ranges []ownership.Range) bool {
+	for _, rg := range ranges {
+		for p := rg.From; p <= rg.To; p++ {
+			if g.inFlight[p] > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (g *grantSet) state() string {
+	if g.draining {
+		return stateDraining
+	}
+	return stateOK
+}
--- /dev/null
+++ b/internal/control/routes.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/table"
+)
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (r *Runner) context() context.Context {
+	return r.t.Context(nil) //nolint:staticcheck // tomb takes nil for its own context
+}
+
+// MayForward implements route.Authority.
+func (r *Runner) MayForward(target string, term uint64) bool {
+	h, ok := r.View().Held[target]
+	return ok && h.Term == term && r.inContact()
+}
+
+// MayRun implements route.Authority.
+func (r *Runner) MayRun(target string, term uint64, partition int, epoch uint64) bool {
+	h, ok := r.View().Held[target]
+	return ok && h.Term == term && h.State == ownership.TargetHeld && h.Granted[partition] == epoch && r.inContact()
+}
+
+func (r *Runner) inContact() bool {
+	return r.now() < lease.Instant(r.contactUntil.Load())
+}
+
+// publish builds a routing snapshot from the table and the view of the core.
+func (r *Runner) publish(v *ownership.View) {
+	t := r.table.Load()
+	if t == nil {
+		return
+	}
+	state := r.serving.Load()
+	snap := &route.Snapshot{
+		TableVersion: t.Version,
+		Serving:      state.Serving,
+		Reason:       state.Reason,
+		Services:     make(map[string]*route.Service, len(t.Services)),
+	}
+	previous := r.cfg.Routes.Load()
+	for _, s := range t.Services {
+		snap.Services[s.Name] = r.service(t, s, v, previous.Services[s.Name])
+	}
+	r.cfg.Routes.Store(snap)
+}
+
+func (r *Runner) service(t *table.Table, s table.Service, v *ownership.View, previous *route.Service) *route.Service {
+	svc := &route.Service{Service: s, Assignment: v.Assignments[s.Name]}
+	byName := map[string]*route.Target{}
+	for _, row := range t.RowsOf(s.Name) {
+		target := r.target(row, v)
+		keepReadySince(target, previous)
+		byName[row.Target] = target
+		svc.Targets = append(svc.Targets, target)
+	}
+	svc.Owners = owners(svc.Assignment, byName)
+	return svc
+}
+
+func (r *Runner) target(row table.Row, v *ownership.View) *route.Target {
+	t := &route.Target{Row: row, Ready: true}
+	if v.Cell == nil {
+		return t
+	}
+	c, ok := v.Cell.Controller(row.ID())
+	if !ok {
+		return t
+	}
+	t.Controller, t.Term = c.Instance, c.Term
+	t.Local = c.Instance == r.cfg.Core.Self.ID
+	if m, ok := v.Cell.Member(c.Instance); ok {
+		t.ForwardAddress = m.ForwardAddress
+	}
+	return t
+}
+
+// keepReadySince carries over since when a target is ready.
+func keepReadySince(t *route.Target, previous *route.Service) {
+	t.ReadySince = time.Now().UnixMilli()
+	if previous == nil {
+		// All targets are new to an instance that has just started; a ramp would
+		// only slow it down.
+		t.ReadySince = 0
+		return
+	}
+	for _, p := range previous.Targets {
+		if p.Row.Target == t.Row.Target && p.Row.Address == t.Row.Address && p.Ready {
+			t.ReadySince = p.ReadySince
+		}
+	}
+}
+
+func owners(a *placement.Assignment, byName map[string]*route.Target) []*route.Target {
+	if a == nil {
+		return nil
+	}
+	list := make([]*route.Target, len(a.Targets))
+	for i, name := range a.Targets {
+		list[i] = byName[name]
+	}
+	return list
+}
--- /dev/null
+++ b/internal/control/runner.go
@@ -0,0 +1,205 @@
+// Package control runs the control core of an instance. One goroutine feeds
+// events into the core and carries out its actions; calls to the store and to
+// backend servers run in goroutines of their own and come back as events.
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/table"
+)
+
+const (
+	// eventBuffer bounds the events that wait for the core.
+	eventBuffer = 4096
+	// storeTimeout bounds one call of the store.
+	storeTimeout = 2 * time.Second
+	// serverTimeout bounds a call of a backend server beyond the time that the
+	// server holds its reply.
+	serverTimeout = 300 * time.Millisecond
+	// instancesInterval is the time between reads of the instance list.
+	instancesInterval = 2 * time.Second
+	// slowStep is the duration of a step that is worth a log line, because
+	// heartbeats wait meanwhile.
+	slowStep = 50 * time.Millisecond
+)
+
+// Servers calls backend servers.
+type Servers interface {
+	Call(ctx context.Context, address string, req ownership.ServerRequest) (ownership.ServerReply, error)
+}
+
+// Peers sends messages to other instances; Send does not block.
+type Peers interface {
+	Send(to ownership.Member, msg ownership.Message)
+}
+
+// Admissions stops the admission of requests for partitions. It calls done
+// once no request is in flight for them.
+type Admissions interface {
+	StopAdmission(target string, term uint64, partitions []int, done func())
+}
+
+// Recorder takes the records of the core for log and audit trail.
+type Recorder func(rec ownership.Record)
+
+// Config holds what a runner needs.
+type Config struct {
+	Core       ownership.Config
+	Store      platform.Store
+	Servers    Servers
+	Peers      Peers
+	Admissions Admissions
+	Routes     *route.Holder
+	Record     Recorder
+	Logger     zerolog.Logger
+}
+
+// Runner runs one core. Its exported methods are safe for concurrent use.
+type Runner struct {
+	cfg    Config
+	core   *ownership.Core
+	start  time.Time
+	events chan ownership.Event
+
+	t       tomb.Tomb
+	stopped chan struct{}
+
+	contactUntil atomic.Int64
+	view         atomic.Pointer[ownership.View]
+	table        atomic.Pointer[table.Table]
+	serving      atomic.Pointer[ServingState]
+	republish    chan struct{}
+}
+
+// ServingState says whether the instance takes requests, and why not.
+type ServingState struct {
+	Serving bool
+	Reason  string
+}
+
+// New returns a runner that has not started.
+func New(cfg Config) *Runner {
+	r := &Runner{
+		cfg:       cfg,
+		core:      ownership.New(cfg.Core),
+		start:     time.Now(),
+		events:    make(chan ownership.Event, eventBuffer),
+		stopped:   make(chan struct{}),
+		republish: make(chan struct{}, 1),
+	}
+	r.serving.Store(&ServingState{Reason: "starting"})
+	r.view.Store(&ownership.View{})
+	return r
+}
+
+// Start starts the control loop.
+func (r *Runner) Start() {
+	r.t.Go(func() error {
+		r.t.Go(r.loop)
+		r.t.Go(r.listInstances)
+		return nil
+	})
+}
+
+// Close ends the control loop without handing anything over.
+func (r *Runner) Close() error {
+	r.t.Kill(nil)
+	return r.t.Wait()
+}
+
+// HandOver asks the core to hand over everything and waits until it has, or
+// until ctx ends.
+func (r *Runner) HandOver(ctx context.Context) error {
+	r.Post(ownership.StopRequested{})
+	select {
+	case <-r.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.t.Dying():
+		return tomb.ErrDying
+	}
+}
+
+// Post queues an event. It blocks while the queue is full.
+func (r *Runner) Post(ev ownership.Event) {
+	select {
+	case r.events <- ev:
+	case <-r.t.Dying():
+	}
+}
+
+// SetTable gives the core a table version that the instance has adopted.
+func (r *Runner) SetTable(t *table.Table) {
+	r.table.Store(t)
+	r.Post(ownership.TableObserved{Table: t})
+}
+
+// SetServing says whether the instance may take requests.
+func (r *Runner) SetServing(serving bool, reason string) {
+	r.serving.Store(&ServingState{Serving: serving, Reason: reason})
+	select {
+	case r.republish <- struct{}{}:
+	default:
+	}
+}
+
+// View returns the last view that the core published.
+func (r *Runner) View() *ownership.View { return r.view.Load() }
+
+func (r *Runner) now() lease.Instant { return time.Since(r.start) }
+
+func (r *Runner) loop() error {
+	ticker := time.NewTicker(r.cfg.Core.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case ev := <-r.events:
+			r.step(ev)
+		case <-ticker.C:
+			r.step(ownership.Tick{})
+		case <-r.republish:
+			r.publish(r.View())
+		case <-r.t.Dying():
+			return nil
+		}
+	}
+}
+
+func (r *Runner) step(ev ownership.Event) {
+	begin := r.now()
+	for _, a := range r.core.Step(begin, ev) {
+		r.do(a)
+	}
+	if d := r.now() - begin; d > slowStep {
+		r.cfg.Logger.Warn().Str("event", "control.slow_step").Dur("duration", d).Send()
+	}
+}
+
+func (r *Runner) listInstances() error {
+	ticker := time.NewTicker(instancesInterval)
+	defer ticker.Stop()
+	for {
+		ctx, cancel := context.WithTimeout(r.t.Context(nil), storeTimeout) //nolint:staticcheck // tomb takes nil for its own context
+		list, err := r.cfg.Store.Instances(ctx)
+		cancel()
+		if err == nil {
+			r.Post(ownership.InstancesListed{Instances: list})
+		}
+		select {
+		case <-ticker.C:
+		case <-r.t.Dying():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/ownership/tablemessage.go
@@ -0,0 +1,27 @@
+package ownership
+
+import "github.com/boragegate/boragegate/lease"
+
+// TableRequest asks a peer for its table and tells it the sender's version. The
+// messages in this file are handled by the table follower, not by the core.
+type TableRequest struct {
+	// Stamp is the sender's own time, echoed in the reply.
+	Stamp lease.Stamp `msgpack:"s"`
+	// Version is the version that the sender has in force.
+	Version uint64 `msgpack:"v"`
+}
+
+// TableUpdate answers a TableRequest, or carries a newly accepted version.
+type TableUpdate struct {
+	// Stamp is the stamp of the request, or 0.
+	Stamp   lease.Stamp `msgpack:"s"`
+	Version uint64      `msgpack:"v"`
+	// ConfirmedAgeMS is the time since the sender knew the version to be the
+	// newest, or -1 if it never did.
+	ConfirmedAgeMS int64 `msgpack:"a"`
+	// Data is the encoded table, empty if the request named the same version.
+	Data []byte `msgpack:"d,omitempty"`
+}
+
+func (TableRequest) message() {}
+func (TableUpdate) message()  {}
