--- /dev/null
+++ b/placement/board.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// nobody is the node of a partition that has no living owner.
+const nobody = int32(-1)
+
+// node is a target during one plan.
+type node struct {
+	Target
+	// load is the cost of the partitions that the target owns, with started moves counted as done.
+	load float64
+	// share is the cost that the target should have.
+	share float64
+	// receives says that the target may get partitions in this plan.
+	receives bool
+}
+
+// fill is the load relative to the share. A target without a share is infinitely full.
+func (n *node) fill() float64 { return n.fillWith(0) }
+
+func (n *node) fillWith(cost float64) float64 {
+	if n.share <= 0 {
+		return maxFill
+	}
+	return (n.load + cost) / n.share
+}
+
+// maxFill is the fill of a target that should have nothing.
+const maxFill = 1e18
+
+// board is the state of one plan: targets, owners and costs. A plan changes
+// the board as it goes, so that later choices see the earlier ones.
+type board struct {
+	// nodes are ordered by name, so that a plan does not depend on the order of the input.
+	nodes []node
+	// owner is the node of each partition.
+	owner []int32
+	// cost is what each partition adds to the load of its owner.
+	cost []float64
+	// total is the sum of cost.
+	total float64
+}
+
+// newBoard orders the targets and resolves the owners. Partitions of lost or
+// unlisted targets get nobody as owner.
+func newBoard(in Input, cost []float64) *board {
+	b := &board{
+		nodes: make([]node, len(in.Targets)),
+		owner: make([]int32, len(in.Assignment.Owner)),
+		cost:  cost,
+	}
+	for i, t := range in.Targets {
+		b.nodes[i] = node{Target: t}
+	}
+	slices.SortFunc(b.nodes, func(x, y node) int { return cmp.Compare(x.Name, y.Name) })
+	living := b.livingNodes(in.Assignment.Targets)
+	for p, o := range in.Assignment.Owner {
+		b.owner[p] = nobody
+		if int(o) < len(living) {
+			b.owner[p] = living[o]
+		}
+	}
+	return b
+}
+
+// livingNodes maps the assignment's target indexes to nodes.
+func (b *board) livingNodes(names []string) []int32 {
+	living := make([]int32, len(names))
+	for i, name := range names {
+		living[i] = nobody
+		if n := b.find(name); n != nobody && !b.nodes[n].Lost {
+			living[i] = n
+		}
+	}
+	return living
+}
+
+// find returns the node with that name, or nobody.
+func (b *board) find(name string) int32 {
+	i, ok := slices.BinarySearchFunc(b.nodes, name, func(n node, s string) int { return cmp.Compare(n.Name, s) })
+	if !ok {
+		return nobody
+	}
+	return int32(i) //nolint:gosec // fewer than 65536 targets
+}
+
+// sum computes the loads and the total from owners and costs.
+func (b *board) sum() {
+	b.total = 0
+	for i := range b.nodes {
+		b.nodes[i].load = 0
+	}
+	for p, o := range b.owner {
+		c := b.cost[p]
+		b.total += c
+		if o != nobody {
+			b.nodes[o].load += c
+		}
+	}
+}
+
+// give makes the node the owner of the partition.
+func (b *board) give(p int, to int32) {
+	if from := b.owner[p]; from != nobody {
+		b.nodes[from].load -= b.cost[p]
+	}
+	b.owner[p] = to
+	b.nodes[to].load += b.cost[p]
+}
+
+// byCost orders partitions by falling cost, then by number.
+func (b *board) byCost(ps []int32) {
+	slices.SortFunc(ps, func(x, y int32) int {
+		if c := cmp.Compare(b.cost[y], b.cost[x]); c != 0 {
+			return c
+		}
+		return cmp.Compare(x, y)
+	})
+}
