--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// bodyPrefix is the number of bytes of a request body that are read before the
+// request takes a slot. A body that fits can be sent again, and its caller
+// cannot hold a slot by sending slowly.
+const bodyPrefix = 64 << 10
+
+// body is a request body that can be sent again unless more than its prefix was used.
+type body struct {
+	prefix []byte
+	rest   io.Reader // nil if the prefix is everything
+	used   atomic.Bool
+	length int64 // -1 if unknown
+}
+
+// readBody reads the prefix of the request's body. It returns nil if there is no body.
+func (g *Gateway) readBody(w http.ResponseWriter, c *call) (*body, *failure) {
+	r := c.in
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if r.ContentLength > g.cfg.MaxBody {
+		return nil, tooLarge()
+	}
+	limited := http.MaxBytesReader(w, r.Body, g.cfg.MaxBody)
+	in := &stallReader{r: limited, rc: http.NewResponseController(w), limit: g.cfg.StallTimeout}
+	in.end, _ = c.ctx.Deadline()
+	size := int64(bodyPrefix)
+	if r.ContentLength > 0 {
+		size = min(size, r.ContentLength)
+	}
+	b := &body{prefix: make([]byte, size), length: r.ContentLength}
+	n, err := readUpTo(in, b.prefix)
+	b.prefix = b.prefix[:n]
+	switch {
+	case errors.Is(err, io.EOF):
+		b.length = int64(n)
+	case err != nil:
+		return nil, bodyFailure(err)
+	case int64(n) != r.ContentLength:
+		b.rest = in
+	}
+	return b, nil
+}
+
+// readUpTo fills p. Unlike io.ReadFull it keeps the reader's error, so that a
+// truncated body is not taken for a complete one.
+func readUpTo(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	return n, err
+}
+
+func tooLarge() *failure {
+	return notRun(http.StatusRequestEntityTooLarge, "body-too-large", "the body exceeds the limit")
+}
+
+func bodyFailure(err error) *failure {
+	if tooBig := new(http.MaxBytesError); errors.As(err, &tooBig) {
+		return tooLarge()
+	}
+	return notRun(http.StatusBadRequest, "body-incomplete", "the body could not be read")
+}
+
+// repeatable reports whether the body can be sent once more.
+func (b *body) repeatable() bool { return b == nil || !b.used.Load() }
+
+// reader returns the body for one attempt.
+func (b *body) reader() io.ReadCloser {
+	if b.rest == nil {
+		return io.NopCloser(bytes.NewReader(b.prefix))
+	}
+	return io.NopCloser(io.MultiReader(bytes.NewReader(b.prefix), &restReader{b}))
+}
+
+// restReader notes that the part of the body that is not kept was used.
+type restReader struct{ body *body }
+
+func (r *restReader) Read(p []byte) (int, error) {
+	r.body.used.Store(true)
+	return r.body.rest.Read(p)
+}
+
+// stallReader ends a request whose caller sends no byte for the limit.
+type stallReader struct {
+	r     io.Reader
+	rc    *http.ResponseController
+	limit time.Duration
+	end   time.Time
+}
+
+func (s *stallReader) Read(p []byte) (int, error) {
+	until := time.Now().Add(s.limit)
+	if s.end.Before(until) {
+		until = s.end
+	}
+	_ = s.rc.SetReadDeadline(until) // not supported by recorders in tests
+	n, err := s.r.Read(p)
+	if err != nil {
+		_ = s.rc.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/gateway/caller.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// serveCaller handles a request of a caller.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.active.begin()
+	defer g.active.end()
+	started := g.clock.Now()
+	id := newRequestID()
+	stripForged(r.Header)
+	snapshot := g.cfg.Routes.Load()
+	if !snapshot.Serving {
+		g.refuse(w, r, id, started, unavailable("not-serving", "this instance takes no requests: "+snapshot.Reason))
+		return
+	}
+	c, cancel, f := g.newCall(r, snapshot)
+	if f != nil {
+		g.refuse(w, r, id, started, f)
+		return
+	}
+	defer cancel()
+	c.id = id
+	resp, f := g.answer(w, c) //nolint:bodyclose // relay closes it
+	if f != nil {
+		g.refuse(w, r, id, started, f)
+		return
+	}
+	g.noteAnswer(c.service.Name, started)
+	g.relay(w, resp, http.Header{headerRequestID: {id}})
+}
+
+func (g *Gateway) answer(w http.ResponseWriter, c *call) (*http.Response, *failure) {
+	var f *failure
+	if c.body, f = g.readBody(w, c); f != nil {
+		return nil, f
+	}
+	return g.dispatch(c)
+}
+
+// stripForged removes the headers that only instances set.
+func stripForged(h http.Header) {
+	for name := range h {
+		if len(name) > len(headerPrefix) && name[:len(headerPrefix)] == headerPrefix &&
+			name != headerKey && name != headerDeadline {
+			delete(h, name)
+		}
+	}
+}
+
+// refuse answers a caller with a failure.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, id string, started time.Time, f *failure) {
+	g.noteFailure(r, id, started, f)
+	if f.status == statusClientClosed && r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if f.slug == "not-owner" {
+		f.status = http.StatusServiceUnavailable // 421 is between instances and servers
+	}
+	w.Header().Set(headerRequestID, id)
+	f.write(w, id)
+}
+
+// serveForward handles a request of another instance.
+func (g *Gateway) serveForward(w http.ResponseWriter, r *http.Request) {
+	g.active.begin()
+	defer g.active.end()
+	id := r.Header.Get(headerRequestID)
+	snapshot := g.cfg.Routes.Load()
+	c, cancel, f := g.newCall(r, snapshot)
+	if f != nil {
+		if f.slug == "unknown-service" {
+			f = notOwner("this instance does not know the service yet")
+		}
+		g.refuseForwarded(w, r, id, f)
+		return
+	}
+	defer cancel()
+	c.id = id
+	if c.body, f = g.readBody(w, c); f != nil {
+		g.refuseForwarded(w, r, id, f)
+		return
+	}
+	d, f := g.forwardedTo(c)
+	var resp *http.Response
+	if f == nil {
+		resp, f = g.runHere(c, d) //nolint:bodyclose // relay closes it
+	}
+	if f != nil {
+		g.refuseForwarded(w, r, id, f)
+		return
+	}
+	g.relay(w, resp, g.loadHeader(d.target))
+}
+
+// forwardedTo finds the target of a forwarded request in this instance's own
+// snapshot, which decides, because the other instance's may be older or newer.
+func (g *Gateway) forwardedTo(c *call) (destination, *failure) {
+	snapshot := g.cfg.Routes.Load()
+	id := c.in.Header.Get(headerTarget)
+	s := snapshot.Services[c.service.Name]
+	d := destination{partition: noPartition}
+	if key := c.routingKey(); key != "" && s != nil {
+		d = owner(s, key)
+	} else if s != nil {
+		for _, t := range s.Targets {
+			if t.Row.ID() == id {
+				d.target = t
+			}
+		}
+	}
+	if d.target == nil || !d.target.Local || d.target.Row.ID() != id {
+		return d, notOwner("this instance is not in front of the target")
+	}
+	return d, nil
+}
+
+// refuseForwarded answers another instance with a failure.
+func (g *Gateway) refuseForwarded(w http.ResponseWriter, r *http.Request, id string, f *failure) {
+	if f.status == statusClientClosed && r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(headerAgain, string(f.again))
+	f.write(w, id)
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/boragegate/boragegate/admission"
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/table"
+)
+
+// Limits of values that callers choose.
+const (
+	maxKeyLen         = 1024
+	maxIdempotencyLen = 255
+)
+
+// call is one request on its way through the gateway.
+type call struct {
+	in       *http.Request
+	ctx      context.Context
+	id       string
+	service  table.Service
+	path     string // escaped path without the service, starts with "/"
+	key      string
+	idem     string // Idempotency-Key, if the request must not be repeated
+	class    admission.Class
+	deadline time.Time
+	body     *body
+	safe     bool // a repeated run has no effect
+}
+
+// newCall reads what routing and admission need from a request. The returned
+// function ends the call's context.
+func (g *Gateway) newCall(r *http.Request, snapshot *route.Snapshot) (*call, context.CancelFunc, *failure) {
+	name, path, ok := splitPath(r.URL)
+	if !ok || r.Method == http.MethodConnect {
+		return nil, nil, notRun(http.StatusBadRequest, "malformed", "the path must be /{service}/…")
+	}
+	s := snapshot.Services[name]
+	if s == nil {
+		return nil, nil, notRun(http.StatusNotFound, "unknown-service", "the table has no service "+strconv.Quote(name))
+	}
+	c := &call{in: r, service: s.Service, path: path, class: classOf(s.Service, path), safe: isSafe(r.Method)}
+	if f := c.readKeys(r.Header); f != nil {
+		return nil, nil, f
+	}
+	left, f := timeLeft(r.Header, time.Duration(s.MaxRequestTime))
+	if f != nil {
+		return nil, nil, f
+	}
+	c.deadline = g.clock.Now().Add(left)
+	ctx, cancel := context.WithTimeout(r.Context(), left)
+	c.ctx = ctx
+	return c, cancel, nil
+}
+
+// splitPath returns the first segment and the rest of an escaped path.
+func splitPath(u *url.URL) (service, rest string, ok bool) {
+	escaped := u.EscapedPath()
+	if len(escaped) < 2 || escaped[0] != '/' {
+		return "", "", false
+	}
+	end := strings.IndexByte(escaped[1:], '/')
+	if end < 0 {
+		return escaped[1:], "/", true
+	}
+	return escaped[1 : end+1], escaped[end+1:], end > 0
+}
+
+func (c *call) readKeys(h http.Header) *failure {
+	if len(h[headerKey]) > 1 || len(h[headerIdempotency]) > 1 {
+		return notRun(http.StatusBadRequest, "malformed", "more than one key")
+	}
+	c.key = h.Get(headerKey)
+	if c.key == "" && c.service.KeyPath != "" {
+		c.key = keyFromPath(c.service.KeyPath, c.path)
+	}
+	if c.service.Divided && (c.key == "" || len(c.key) > maxKeyLen) {
+		return notRun(http.StatusBadRequest, "no-key", "the service is divided by key: "+headerKey+" or the path must have one")
+	}
+	if !slices.Contains(c.service.NotRepeatable, c.in.Method) {
+		return nil
+	}
+	c.idem = h.Get(headerIdempotency)
+	if c.idem == "" || len(c.idem) > maxIdempotencyLen {
+		return notRun(http.StatusBadRequest, "no-idempotency-key",
+			c.in.Method+" requests to this service must not be repeated and need an "+headerIdempotency)
+	}
+	return nil
+}
+
+// keyFromPath returns the segment of path at the place of {key} in pattern, or
+// "". Further segments of path are ignored.
+func keyFromPath(pattern, path string) string {
+	for {
+		want, patternRest, more := strings.Cut(strings.TrimPrefix(pattern, "/"), "/")
+		got, pathRest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+		if want == "{key}" {
+			key, err := url.PathUnescape(got)
+			if err != nil {
+				return ""
+			}
+			return key
+		}
+		if want != got || !more {
+			return ""
+		}
+		pattern, path = patternRest, pathRest
+	}
+}
+
+func classOf(s table.Service, path string) admission.Class {
+	for _, prefix := range s.BulkPaths {
+		if strings.HasPrefix(path, prefix) {
+			return admission.Bulk
+		}
+	}
+	return admission.Interactive
+}
+
+func isSafe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// timeLeft returns the caller's deadline, bounded by the service's longest request time.
+func timeLeft(h http.Header, longest time.Duration) (time.Duration, *failure) {
+	if longest <= 0 {
+		longest = DefaultMaxRequestTime
+	}
+	text := h.Get(headerDeadline)
+	if text == "" {
+		return longest, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 {
+		return 0, notRun(http.StatusBadRequest, "malformed", headerDeadline+" must be a number of milliseconds")
+	}
+	if ms == 0 {
+		f := notRun(http.StatusServiceUnavailable, "deadline", "no time left")
+		f.retryAfter = time.Second
+		return 0, f
+	}
+	return min(time.Duration(min(ms, int64(longest/time.Millisecond)+1))*time.Millisecond, longest), nil
+}
+
+func newRequestID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
--- /dev/null
+++ b/internal/gateway/route.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"strconv"
+
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/placement"
+)
+
+// noPartition marks a request that any target of its service can serve.
+const noPartition = -1
+
+// destination is where a request goes.
+type destination struct {
+	target    *route.Target
+	partition int
+	epoch     uint64
+}
+
+// owner returns the target that owns the key's partition. The target is nil if
+// there is none. It does not allocate.
+func owner(s *route.Service, key string) destination {
+	p := placement.PartitionOf(s.Name, key, s.Partitions)
+	d := destination{partition: p}
+	a := s.Assignment
+	if a == nil || p >= len(a.Owner) {
+		return d
+	}
+	if i := int(a.Owner[p]); i < len(s.Owners) {
+		d.target, d.epoch = s.Owners[i], a.Epoch[p]
+	}
+	return d
+}
+
+// routingKey is the key that decides the partition, or "" if any target will do.
+func (c *call) routingKey() string {
+	if c.service.Divided {
+		return c.key
+	}
+	return c.idem
+}
+
+// resolve finds the destination in the snapshot.
+func (g *Gateway) resolve(snapshot *route.Snapshot, c *call) (destination, *failure) {
+	if !snapshot.Serving {
+		return destination{}, unavailable("not-serving", "this instance takes no requests: "+snapshot.Reason)
+	}
+	s := snapshot.Services[c.service.Name]
+	if s == nil {
+		return destination{}, notRun(404, "unknown-service", "the table no longer has the service "+strconv.Quote(c.service.Name))
+	}
+	d := destination{partition: noPartition}
+	if key := c.routingKey(); key != "" {
+		d = owner(s, key)
+	} else {
+		d.target = g.choose(s, c)
+	}
+	switch {
+	case d.target == nil && d.partition == noPartition:
+		return d, noOwner("no target of the service is ready")
+	case d.target == nil:
+		return d, noOwner("partition " + strconv.Itoa(d.partition) + " has no owner at the moment")
+	case !d.target.Local && d.target.ForwardAddress == "":
+		return d, noOwner("no instance is in front of " + d.target.Row.ID() + " at the moment")
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/gateway/session_test.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/table"
+)
+
+// session is two instances, a and b, with scripted servers. Callers talk to a.
+// Each step is recorded as it is seen on the wire, and compared with a golden file.
+type session struct {
+	mu        sync.Mutex
+	record    strings.Builder
+	a, b      *node
+	servers   map[string]*scriptedServer
+	service   table.Service
+	epoch     uint64
+	refuseRun atomic.Bool // Authority answers no
+}
+
+type node struct {
+	gateway *Gateway
+	routes  route.Holder
+	callers string
+	peers   string
+}
+
+func (s *session) MayForward(string, uint64) bool { return !s.refuseRun.Load() }
+
+func (s *session) MayRun(string, uint64, int, uint64) bool { return !s.refuseRun.Load() }
+
+func newSession(service table.Service) *session {
+	s := &session{service: service, servers: map[string]*scriptedServer{}, epoch: 1 << 32}
+	s.a, s.b = s.newNode("a"), s.newNode("b")
+	for _, name := range []string{"t1", "t2"} {
+		s.servers[name] = s.newServer(name)
+	}
+	s.own("t1")
+	return s
+}
+
+func (s *session) newNode(id string) *node {
+	n := &node{}
+	n.gateway = New(Config{Self: id, Routes: &n.routes, Authority: s, HandoverWait: 500 * time.Millisecond})
+	n.callers, n.peers = s.serve(n.gateway.CallerHandler()), s.serve(n.gateway.ForwardHandler())
+	return n
+}
+
+func (s *session) serve(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	DeferCleanup(server.Close)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
+}
+
+// own publishes routes in which the target owns all partitions at a new epoch.
+// Instance b is in front of t1, a in front of t2.
+func (s *session) own(target string) {
+	s.epoch++
+	s.publish(s.a, target, "t2")
+	s.publish(s.b, target, "t1")
+}
+
+func (s *session) publish(n *node, owner, local string) {
+	sv := &route.Service{Service: s.service, Assignment: placement.NewAssignment(s.service.Name, s.service.Partitions)}
+	for _, name := range []string{"t1", "t2"} {
+		t := &route.Target{
+			Row: table.Row{
+				Service: s.service.Name, Target: name, Address: s.servers[name].address,
+				Slots: 2, Connections: 4, Queue: 8, Weight: 1,
+			},
+			Term: 7, Ready: true, Local: name == local, ForwardAddress: s.b.peers,
+		}
+		if name == "t2" {
+			t.ForwardAddress = s.a.peers
+		}
+		sv.Targets = append(sv.Targets, t)
+	}
+	sv.Owners = sv.Targets
+	if owner != "" {
+		var changes []placement.Change
+		for p := range s.service.Partitions {
+			changes = append(changes, placement.Change{Partition: p, Target: owner})
+		}
+		sv.Assignment.Targets = []string{"t1", "t2"}
+		sv.Assignment = sv.Assignment.With(s.epoch, changes)
+	}
+	n.routes.Store(&route.Snapshot{Serving: true, Services: map[string]*route.Service{s.service.Name: sv}})
+}
+
+// note records a step.
+func (s *session) note(who, what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(&s.record, "%s\n", who)
+	for line := range strings.SplitSeq(strings.TrimSuffix(what, "\n"), "\n") {
+		fmt.Fprintf(&s.record, "    %s\n", strings.TrimSuffix(line, "\r"))
+	}
+}
+
+var variable = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`(?m)^    Date: .*$`), "    Date: DATE"},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}`), "UUID"},
+	{regexp.MustCompile(`Deadline: \d{2,}`), "Deadline: MILLISECONDS"},
+}
+
+// golden compares the record with testdata/name.golden.
+func (s *session) golden(name string) {
+	s.mu.Lock()
+	text := s.record.String()
+	s.mu.Unlock()
+	for _, v := range variable {
+		text = v.pattern.ReplaceAllString(text, v.text)
+	}
+	goldie.New(GinkgoTB()).Assert(GinkgoTB(), name, []byte(text))
+}
+
+// caller is a raw connection of a caller.
+type caller struct {
+	s    *session
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (s *session) connect() *caller {
+	conn, err := net.Dial("tcp", s.a.callers)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	return &caller{s, conn, bufio.NewReader(conn)}
+}
+
+// send writes raw bytes; "\n" stands for CRLF.
+func (c *caller) send(raw string) *caller {
+	c.s.note("caller sends", raw)
+	_, err := io.WriteString(c.conn, strings.ReplaceAll(raw, "\n", "\r\n"))
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+// receive reads one answer and records it.
+func (c *caller) receive() *http.Response {
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.s.note("caller gets", "connection closed without an answer")
+		return nil
+	}
+	body, err := io.ReadAll(resp.Body)
+	text := fmt.Sprintf("%s %s\n%s\n", resp.Proto, resp.Status, sortedHeaders(resp.Header))
+	if err != nil {
+		text += "(a part of the body, then the connection broke: " + err.Error() + ")"
+	} else {
+		text += abbreviate(body)
+	}
+	c.s.note("caller gets", text)
+	return resp
+}
+
+func sortedHeaders(h http.Header) string {
+	var lines []string
+	for name, values := range h {
+		for _, v := range values {
+			lines = append(lines, name+": "+v+"\n")
+		}
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
+// behaviour is what a scripted server does with one connection's next request.
+type behaviour func(s *session, name string, conn net.Conn, in *bufio.Reader) bool
+
+// scriptedServer handles one request after the other as its script says.
+type scriptedServer struct {
+	address string
+	script  chan behaviour
+}
+
+func (s *session) newServer(name string) *scriptedServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	server := &scriptedServer{address: l.Addr().String(), script: make(chan behaviour, 16)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.play(name, server, conn)
+		}
+	}()
+	return server
+}
+
+func (s *session) play(name string, server *scriptedServer, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		select {
+		case b := <-server.script:
+			if !b(s, name, conn, in) {
+				return
+			}
+		default:
+			s.note("server "+name, "got a request that the script does not expect")
+			return
+		}
+	}
+}
+
+func (s *session) script(name string, bs ...behaviour) {
+	for _, b := range bs {
+		s.servers[name].script <- b
+	}
+}
+
+// read reads and records one request.
+func read(s *session, name string, in *bufio.Reader) bool {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	body, err := io.ReadAll(req.Body)
+	text := fmt.Sprintf("%s %s %s\nHost: %s\n%s", req.Method, req.RequestURI, req.Proto, req.Host, sortedHeaders(req.Header))
+	if req.ContentLength != 0 {
+		text += fmt.Sprintf("(length %d)\n\n%s", req.ContentLength, abbreviate(body))
+	}
+	if err != nil {
+		text += "\n(request broke off)"
+	}
+	s.note("server "+name+" sees", text)
+	return err == nil
+}
+
+func abbreviate(b []byte) string {
+	if len(b) > 1000 {
+		return fmt.Sprintf("(%d bytes, %d of them 'x')", len(b), bytes.Count(b, []byte("x")))
+	}
+	return string(b)
+}
+
+// reply answers with raw bytes; "\n" stands for CRLF.
+func reply(raw string) behaviour {
+	return replyAfter(func() {}, raw)
+}
+
+// replyAfter runs f between reading the request and answering.
+func replyAfter(f func(), raw string) behaviour {
+	return func(s *session, name string, conn net.Conn, in *bufio.Reader) bool {
+		if !read(s, name, in) {
+			return false
+		}
+		f()
+		_, err := io.WriteString(conn, strings.ReplaceAll(raw, "\n", "\r\n"))
+		return err == nil
+	}
+}
+
+// replyAndClose answers with raw bytes and closes the connection.
+func replyAndClose(raw string) behaviour {
+	return func(s *session, name string, conn net.Conn, in *bufio.Reader) bool {
+		reply(raw)(s, name, conn, in)
+		s.note("server "+name, "closes the connection")
+		return false
+	}
+}
+
+// closeBeforeReading closes the connection when the first byte arrives.
+func closeBeforeReading(s *session, name string, _ net.Conn, _ *bufio.Reader) bool {
+	s.note("server "+name, "closes the connection without reading")
+	return false
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -59,15 +59,33 @@
 }
 
 // Holder publishes snapshots.
-type Holder struct{ p atomic.Pointer[Snapshot] }
+type Holder struct{ p atomic.Pointer[published] }
+
+type published struct {
+	snapshot *Snapshot
+	replaced chan struct{}
+}
 
 // Load returns the current snapshot, never nil.
 func (h *Holder) Load() *Snapshot {
-	if s := h.p.Load(); s != nil {
-		return s
+	s, _ := h.Watch()
+	return s
+}
+
+// Watch returns the current snapshot, never nil, and a channel that is closed
+// when another snapshot has replaced it.
+func (h *Holder) Watch() (*Snapshot, <-chan struct{}) {
+	p := h.p.Load()
+	if p == nil {
+		h.p.CompareAndSwap(nil, &published{&Snapshot{Reason: "no table yet"}, make(chan struct{})})
+		p = h.p.Load()
 	}
-	return &Snapshot{Reason: "no table yet"}
+	return p.snapshot, p.replaced
 }
 
 // Store publishes a snapshot.
-func (h *Holder) Store(s *Snapshot) { h.p.Store(s) }
+func (h *Holder) Store(s *Snapshot) {
+	if old := h.p.Swap(&published{s, make(chan struct{})}); old != nil {
+		close(old.replaced)
+	}
+}
