--- /dev/null
+++ b/table/change_test.go
@@ -0,0 +1,120 @@
+package table_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/table"
+)
+
+// TestDiffText guards against a change that an operator cannot read off the text.
+func TestDiffText(t *testing.T) {
+	RegisterTestingT(t)
+	old, next := small(), small()
+	next.Services[0].Prefer = table.Stability
+	next.Services[1].NotRepeatable = []string{"POST"}
+	next.Rows[0].Drain = true
+	next.Rows[1].Weight = 3.5
+	next.Rows[2].Target, next.Rows[2].Address = "b2", "10.0.0.9:80"
+	d := table.Diff(old, next)
+	most, ok := d.MostTakenAway()
+	Expect(ok).To(BeTrue())
+	Expect(most).To(Equal(table.CapacityChange{Service: "b", OldSlots: 3, NewSlots: 3, TakenAway: 1}))
+	goldie.New(t).Assert(t, "diff", []byte(d.String()))
+	Expect(table.Diff(old, small()).Empty()).To(BeTrue())
+}
+
+// TestConflictText guards against a conflict that hides one operator's change.
+func TestConflictText(t *testing.T) {
+	RegisterTestingT(t)
+	base, mine, theirs := small(), small(), small()
+	mine.Rows[0].Weight, theirs.Rows[0].Weight = 2, 3
+	mine.Rows = mine.Rows[:2]
+	theirs.Rows[2].Drain = true
+	_, err := table.Merge(base, mine, theirs)
+	var c table.Conflicts
+	Expect(errors.As(err, &c)).To(BeTrue())
+	goldie.New(t).Assert(t, "conflict", []byte(fmt.Sprintln(err)))
+}
+
+// edits draws changes to up to three rows, identified by index, of a table of ten rows.
+func edits(t *rapid.T, label string) map[int]int {
+	return rapid.MapOfN(rapid.IntRange(0, 9), rapid.IntRange(0, 4), 0, 3).Draw(t, label)
+}
+
+func tenRows() *table.Table {
+	t := &table.Table{Services: []table.Service{{Name: "a"}}}
+	for i := range 10 {
+		t.Rows = append(t.Rows, table.Row{Service: "a", Target: fmt.Sprint("t", i), Weight: 1})
+	}
+	return t
+}
+
+func edited(e map[int]int) *table.Table {
+	t := tenRows()
+	rows := t.Rows
+	t.Rows = nil
+	for i, r := range rows {
+		switch v, ok := e[i]; {
+		case ok && v == 0: // removed
+			continue
+		case ok:
+			r.Weight = float64(v + 1)
+		}
+		t.Rows = append(t.Rows, r)
+	}
+	return t
+}
+
+// TestMergeProperties guards against a merge that loses or invents a change.
+func TestMergeProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := edits(t, "mine"), edits(t, "theirs")
+		both, conflict := map[int]int{}, false
+		for i, v := range a {
+			both[i] = v
+			if w, ok := b[i]; ok && w != v {
+				conflict = true
+			}
+		}
+		for i, v := range b {
+			both[i] = v
+		}
+		merged, err := table.Merge(tenRows(), edited(a), edited(b))
+		if conflict != (err != nil) {
+			t.Fatalf("conflict %v, error %v", conflict, err)
+		}
+		if err == nil && !table.Diff(edited(both), merged).Empty() {
+			t.Fatalf("merged table differs:\n%s", table.Diff(edited(both), merged))
+		}
+	})
+}
+
+var _ = Describe("CSV", func() {
+	It("reads back what it writes, also with a byte order mark", func() {
+		var b bytes.Buffer
+		Expect(table.WriteCSV(&b, small().Rows)).To(Succeed())
+		Expect(table.ParseCSV("rows.csv", append([]byte("\xef\xbb\xbf"), b.Bytes()...))).To(Equal(small().Rows))
+	})
+
+	DescribeTable("reports faults with their place",
+		func(in, message string) {
+			_, err := table.ParseCSV("r.csv", []byte(in))
+			Expect(err).To(MatchError(ContainSubstring(message)))
+		},
+		Entry("empty", "", "r.csv:1:1: the file is empty"),
+		Entry("unknown column", "service,target,address,zone,slots,wieght\n", `wieght: unknown column (expected "weight")`),
+		Entry("missing column", "service,target\n", "slots: the column is missing"),
+		Entry("short line", "service,target,address,zone,slots\na,b\n", "r.csv:2:1: the line has 2 fields"),
+		Entry("no number", "service,target,address,zone,slots\na,b,c,d,many\n", `r.csv:2:9: slots: cannot use "many"`),
+		Entry("bad quote", "service,target,address,zone,slots\na,\"b\n", "comma-separated values"),
+		Entry("not UTF-8", "service\xff", "not UTF-8"),
+	)
+})
--- /dev/null
+++ b/table/csv.go
@@ -0,0 +1,199 @@
+package table
+
+import (
+	"bytes"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/boragegate/boragegate/finding"
+	"github.com/boragegate/boragegate/internal/jsonc"
+)
+
+// csvColumns are the columns of the rows in CSV, in the order in which they are written.
+var csvColumns = []string{"service", "target", "address", "zone", "weight", "slots", "connections", "queue", "rate", "drain"}
+
+// csvRequired are the columns that an input must have.
+var csvRequired = []string{"service", "target", "address", "zone", "slots"}
+
+// WriteCSV writes the rows with a header line.
+func WriteCSV(w io.Writer, rows []Row) error {
+	cw := csv.NewWriter(w)
+	if err := cw.Write(csvColumns); err != nil {
+		return fmt.Errorf("table: write CSV: %w", err)
+	}
+	for _, r := range rows {
+		line := []string{
+			r.Service, r.Target, r.Address, r.Zone, number(r.Weight), strconv.Itoa(r.Slots),
+			strconv.Itoa(r.Connections), strconv.Itoa(r.Queue), number(r.Rate), strconv.FormatBool(r.Drain),
+		}
+		if err := cw.Write(line); err != nil {
+			return fmt.Errorf("table: write CSV: %w", err)
+		}
+	}
+	cw.Flush()
+	if err := cw.Error(); err != nil {
+		return fmt.Errorf("table: write CSV: %w", err)
+	}
+	return nil
+}
+
+// ParseCSV reads rows with a header line; columns may be in any order, and
+// weight, connections, queue, rate and drain may be absent or empty. The error
+// is a finding.List. The rows are not checked against services: put them into a
+// table and call Check.
+func ParseCSV(file string, data []byte) ([]Row, error) {
+	p := &csvParser{file: file}
+	if len(data) > jsonc.MaxBytes {
+		p.add(0, 0, "", fmt.Sprintf("the file has %d bytes", len(data)), fmt.Sprintf("at most %d bytes", jsonc.MaxBytes))
+		return nil, p.list
+	}
+	if !utf8.Valid(data) {
+		p.add(0, 0, "", "the file is not UTF-8", "UTF-8 text")
+		return nil, p.list
+	}
+	// Spreadsheet programs put a byte order mark at the start.
+	p.reader = csv.NewReader(bytes.NewReader(bytes.TrimPrefix(data, []byte("\xef\xbb\xbf"))))
+	p.reader.FieldsPerRecord = -1
+	if !p.header() {
+		return nil, p.list
+	}
+	rows := p.rows()
+	if err := p.list.Err(); err != nil {
+		return nil, err
+	}
+	return rows, nil
+}
+
+type csvParser struct {
+	file    string
+	reader  *csv.Reader
+	columns []string
+	list    finding.List
+}
+
+func (p *csvParser) add(line, column int, path, message, expected string) {
+	if len(p.list) < jsonc.MaxFindings {
+		p.list = append(p.list, finding.Finding{File: p.file, Line: line, Column: column, Path: path, Message: message, Expected: expected})
+	}
+}
+
+func (p *csvParser) header() bool {
+	header, err := p.reader.Read()
+	if err != nil {
+		p.syntax(err)
+		return false
+	}
+	for i, h := range header {
+		h = strings.TrimSpace(h)
+		line, column := p.reader.FieldPos(i)
+		switch {
+		case !slices.Contains(csvColumns, h):
+			p.add(line, column, h, "unknown column", expectName(h, csvColumns))
+		case slices.Contains(p.columns, h):
+			p.add(line, column, h, "the column is repeated", "each column once")
+		}
+		p.columns = append(p.columns, h)
+	}
+	for _, r := range csvRequired {
+		if !slices.Contains(p.columns, r) {
+			p.add(1, 1, r, "the column is missing", "the columns "+strings.Join(csvRequired, ", "))
+		}
+	}
+	return len(p.list) == 0
+}
+
+func (p *csvParser) syntax(err error) {
+	var pe *csv.ParseError
+	switch {
+	case errors.Is(err, io.EOF):
+		p.add(1, 1, "", "the file is empty", "a header line with the columns "+strings.Join(csvColumns, ","))
+	case errors.As(err, &pe):
+		p.add(pe.Line, pe.Column, "", pe.Err.Error(), "comma-separated values")
+	default:
+		p.add(0, 0, "", err.Error(), "comma-separated values")
+	}
+}
+
+func (p *csvParser) rows() []Row {
+	var rows []Row
+	for len(rows) <= MaxRows {
+		record, err := p.reader.Read()
+		if errors.Is(err, io.EOF) {
+			return rows
+		}
+		if err != nil {
+			p.syntax(err)
+			return rows
+		}
+		rows = append(rows, p.row(record))
+	}
+	p.add(0, 0, "", "the file has too many rows", fmt.Sprintf("at most %d", MaxRows))
+	return rows
+}
+
+func (p *csvParser) row(record []string) Row {
+	var r Row
+	if len(record) != len(p.columns) {
+		line, _ := p.reader.FieldPos(0)
+		p.add(line, 1, "", fmt.Sprintf("the line has %d fields", len(record)), fmt.Sprintf("%d fields, as in the header", len(p.columns)))
+		return r
+	}
+	set := map[string]bool{}
+	for i, value := range record {
+		value = strings.TrimSpace(value)
+		name := p.columns[i]
+		if value == "" {
+			continue
+		}
+		set[name] = true
+		if expected := r.setText(name, value); expected != "" {
+			line, column := p.reader.FieldPos(i)
+			p.add(line, column, name, "cannot use "+strconv.Quote(value), expected)
+		}
+	}
+	setRowDefaults(&r, func(field string) bool { return set[field] })
+	return r
+}
+
+// setText sets a field from text and returns what it expects if that fails.
+func (r *Row) setText(name, value string) (expected string) {
+	var err error
+	switch name {
+	case "service":
+		r.Service = value
+	case "target":
+		r.Target = value
+	case "address":
+		r.Address = value
+	case "zone":
+		r.Zone = value
+	case "weight":
+		r.Weight, err = strconv.ParseFloat(value, 64)
+		expected = "a number"
+	case "rate":
+		r.Rate, err = strconv.ParseFloat(value, 64)
+		expected = "a number"
+	case "slots":
+		r.Slots, err = strconv.Atoi(value)
+		expected = "a whole number"
+	case "connections":
+		r.Connections, err = strconv.Atoi(value)
+		expected = "a whole number"
+	case "queue":
+		r.Queue, err = strconv.Atoi(value)
+		expected = "a whole number"
+	case "drain":
+		r.Drain, err = strconv.ParseBool(strings.ToLower(value))
+		expected = "true or false"
+	}
+	if err == nil {
+		return ""
+	}
+	return expected
+}
