Keep the operators' table in the platform's store

Cause: a table change must be conditional on the version that the operator saw, must never revert, and its outcome must be known after a lost reply. Conclusion: the operator API can change the table through this package.

--- a/table/check.go
+++ b/table/check.go
@@ -66,7 +66,7 @@
 	}
 	// The version is at most 20 digits and may not be set yet.
 	if n := len(b) + len(`  "version": 18446744073709551615,`); n > MaxEncodedBytes {
-		c.add("", fmt.Sprintf("the encoded table has %d bytes", n), fmt.Sprintf("at most %d bytes, the largest value of the store", MaxEncodedBytes))
+		c.add("", fmt.Sprintf("the encoded table has %d bytes", n), fmt.Sprintf("at most %d bytes, what the store holds", MaxEncodedBytes))
 	}
 }
 
--- a/table/limits.go
+++ b/table/limits.go
@@ -12,8 +12,9 @@
 	MaxServices = 256
 	// MaxRows bounds the rows of a table. The target size has 676 targets.
 	MaxRows = 10_000
-	// MaxEncodedBytes bounds the encoded table: the store's largest value.
-	MaxEncodedBytes = platform.MaxValueBytes
+	// MaxEncodedBytes bounds the encoded table: the store's largest value less
+	// room for the operator, the comment and the time that are kept with it.
+	MaxEncodedBytes = platform.MaxValueBytes - 4096
 	// MaxPartitions bounds the partitions of a service.
 	MaxPartitions = 65536
 	// MaxWeight bounds the weight of a row.
--- a/table/parse_test.go
+++ b/table/parse_test.go
@@ -108,7 +108,7 @@
 				r.Target, r.Address = fmt.Sprintf("x%d", i), fmt.Sprintf("10.1.%d.%d:80", i/250, i%250)
 				t.Rows = append(t.Rows, r)
 			}
-		}, "at most 1048576 bytes"),
+		}, "at most 1044480 bytes, what the store holds"),
 	)
 
 	It("accepts the same address in two services and a table of the target size", func() {
--- /dev/null
+++ b/table/tablestore/write.go
@@ -0,0 +1,141 @@
+package tablestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/boragegate/boragegate/platform"
+)
+
+// write makes a record the current one if the store still has the version that
+// was read. It returns errRaced if it has another one.
+func (t *Tables) write(ctx context.Context, r, current *Record) error {
+	value, err := r.encode()
+	if err != nil {
+		return err
+	}
+	if current != nil {
+		if err := t.keep(ctx, current); err != nil {
+			return err
+		}
+	}
+	if err := t.announce(ctx, r.Version); err != nil {
+		return err
+	}
+	obj := platform.Object{Kind: Kind, Name: Name, Writer: r.Writer, Value: value}
+	if current != nil {
+		obj.Version = current.object
+	}
+	err = t.put(ctx, obj, r)
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+		t.accepted(ctx, r)
+	case !errors.As(err, &unknown) && t.options.Announcer != nil:
+		t.options.Announcer.Abandoned(r.Version)
+	}
+	return err
+}
+
+func (t *Tables) announce(ctx context.Context, version uint64) error {
+	if t.options.Announcer == nil {
+		return nil
+	}
+	if err := t.options.Announcer.Announce(ctx, version); err != nil {
+		t.options.Announcer.Abandoned(version)
+		return fmt.Errorf("tablestore: announce version %d: %w", version, err)
+	}
+	return nil
+}
+
+// accepted does what can follow later: history and notice.
+func (t *Tables) accepted(ctx context.Context, r *Record) {
+	t.raise(r.Version)
+	if t.options.Announcer != nil {
+		t.options.Announcer.Accepted(r)
+	}
+	// The next change keeps the version in the history if this attempt fails.
+	_ = t.keep(ctx, r)
+	t.prune(ctx, r.Version)
+}
+
+// put writes until the outcome is known. Repeating is safe: the write is
+// conditional on the version read, so it takes effect at most once.
+func (t *Tables) put(ctx context.Context, obj platform.Object, r *Record) error {
+	lost := false
+	for attempt := 1; ; attempt++ {
+		stored, err := t.putOnce(ctx, obj)
+		switch {
+		case err == nil:
+			r.object = stored.Version
+			return nil
+		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists), errors.Is(err, platform.ErrNotFound):
+			if !lost {
+				return errRaced
+			}
+			return t.resolve(ctx, r)
+		case !lost && !uncertain(err):
+			return fmt.Errorf("tablestore: write version %d: %w", r.Version, err)
+		}
+		lost = true
+		if attempt == maxAttempts || !t.wait(ctx) {
+			return t.unknownUnlessMine(ctx, r, err)
+		}
+	}
+}
+
+func (t *Tables) putOnce(ctx context.Context, obj platform.Object) (platform.Object, error) {
+	if obj.Version == 0 {
+		return t.store.Create(ctx, obj)
+	}
+	return t.store.Update(ctx, obj)
+}
+
+// uncertain reports whether a write that failed may have taken effect.
+func uncertain(err error) bool {
+	return errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
+func (t *Tables) wait(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.options.Clock.After(retryWait):
+		return true
+	}
+}
+
+// resolve finds out whose write replaced the version that was read. The history
+// answers when later versions followed, because each writer keeps the version
+// that it replaces.
+func (t *Tables) resolve(ctx context.Context, r *Record) error {
+	now, err := t.Version(ctx, r.Version)
+	switch {
+	case err != nil:
+		return &UnknownError{Version: r.Version, Writer: r.Writer, Cause: err}
+	case now.Writer == r.Writer:
+		r.object = now.object
+		return nil
+	default:
+		return errRaced
+	}
+}
+
+// lastReadTimeout bounds the read that follows when the caller's time is used up.
+const lastReadTimeout = 2 * time.Second
+
+// unknownUnlessMine reads once more before it gives up.
+func (t *Tables) unknownUnlessMine(ctx context.Context, r *Record, cause error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastReadTimeout)
+	defer cancel()
+	if now, err := t.Version(ctx, r.Version); err == nil {
+		if now.Writer == r.Writer {
+			r.object = now.object
+			return nil
+		}
+		return errRaced
+	}
+	return &UnknownError{Version: r.Version, Writer: r.Writer, Cause: cause}
+}
