Store the table so that plain readers can decode it

Cause: the table follower decodes table/current as a table, but the record wrapped it. Change: the stored value is the table with one more field for the origin of the change; reading does not check it again, so a table of an earlier release can be corrected. Measured: go test -race -count=1 ./table/... passes, with a test that decodes the value as a plain table. Conclusion: followers and the operator API read the same object.

--- a/table/tablestore/tables.go
+++ b/table/tablestore/tables.go
@@ -162,11 +162,7 @@
 
 // keep stores a record in the history if it is not there yet.
 func (t *Tables) keep(ctx context.Context, r *Record) error {
-	b, err := r.encode()
-	if err != nil {
-		return err
-	}
-	_, err = t.store.Create(ctx, platform.Object{Kind: HistoryKind, Name: historyName(r.Version), Writer: t.options.NewWriter(), Value: b})
+	_, err := t.store.Create(ctx, platform.Object{Kind: HistoryKind, Name: historyName(r.Version), Writer: t.options.NewWriter(), Value: r.Value})
 	if err != nil && !errors.Is(err, platform.ErrExists) {
 		return fmt.Errorf("tablestore: keep version %d: %w", r.Version, err)
 	}
--- a/table/tablestore/tables_test.go
+++ b/table/tablestore/tables_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -94,6 +95,13 @@
 		Expect(tables.History(ctx, 6, 1)).To(HaveExactElements(HaveField("Version", uint64(5))))
 	})
 
+	It("stores a value that plain readers of the table can decode", func() {
+		var plain table.Table
+		Expect(json.Unmarshal(store.objects["table/current"].Value, &plain)).To(Succeed())
+		Expect(plain.Version).To(Equal(uint64(1)))
+		Expect(table.Diff(&plain, weights(1, 1)).Empty()).To(BeTrue())
+	})
+
 	It("rolls back as a new, higher version", func() {
 		_, err := apply(tables, 1, 5, 5)
 		Expect(err).NotTo(HaveOccurred())
--- a/table/tablestore/write.go
+++ b/table/tablestore/write.go
@@ -12,8 +12,7 @@
 // write makes a record the current one if the store still has the version that
 // was read. It returns errRaced if it has another one.
 func (t *Tables) write(ctx context.Context, r, current *Record) error {
-	value, err := r.encode()
-	if err != nil {
+	if err := r.encode(); err != nil {
 		return err
 	}
 	if current != nil {
@@ -24,11 +23,11 @@
 	if err := t.announce(ctx, r.Version); err != nil {
 		return err
 	}
-	obj := platform.Object{Kind: Kind, Name: Name, Writer: r.Writer, Value: value}
+	obj := platform.Object{Kind: Kind, Name: Name, Writer: r.Writer, Value: r.Value}
 	if current != nil {
 		obj.Version = current.object
 	}
-	err = t.put(ctx, obj, r)
+	err := t.put(ctx, obj, r)
 	var unknown *UnknownError
 	switch {
 	case err == nil:
