Assemble an instance in internal/daemon

Cause: the parts need one place that opens listeners, starts the loops and stops without cutting off requests. Change: internal/daemon binds the listeners, wires gateway, peers, control loop and table follower, and stops in the order readiness, hand-over, requests in flight; the runner keeps lease ends for the status.

--- a/internal/control/actions.go
+++ b/internal/control/actions.go
@@ -24,6 +24,8 @@
 		})
 	case ownership.ExtendContact:
 		r.contactUntil.Store(int64(a.Until))
+	case ownership.ExtendLease:
+		r.extendLease(a)
 	case ownership.PublishRoutes:
 		r.view.Store(a.View)
 		r.publish(a.View)
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -20,19 +20,35 @@
 // MayForward implements route.Authority.
 func (r *Runner) MayForward(target string, term uint64) bool {
 	h, ok := r.View().Held[target]
-	return ok && h.Term == term && r.inContact()
+	return ok && h.Term == term && r.InContact()
 }
 
 // MayRun implements route.Authority.
 func (r *Runner) MayRun(target string, term uint64, partition int, epoch uint64) bool {
 	h, ok := r.View().Held[target]
-	return ok && h.Term == term && h.State == ownership.TargetHeld && h.Granted[partition] == epoch && r.inContact()
+	return ok && h.Term == term && h.State == ownership.TargetHeld && h.Granted[partition] == epoch && r.InContact()
 }
 
-func (r *Runner) inContact() bool {
+// InContact reports whether a majority of the cell acknowledged this instance lately.
+func (r *Runner) InContact() bool {
 	return r.now() < lease.Instant(r.contactUntil.Load())
 }
 
+// extendLease notes how long the controller counts on a target's lease.
+func (r *Runner) extendLease(a ownership.ExtendLease) {
+	r.leases.Store(a.Target, a)
+}
+
+// LeaseLeft returns the time until the lease of a target that this instance
+// controls ends as the controller counts it; 0 if it has ended or is unknown.
+func (r *Runner) LeaseLeft(target string) time.Duration {
+	v, ok := r.leases.Load(target)
+	if !ok {
+		return 0
+	}
+	return max(0, v.(ownership.ExtendLease).Until-r.now())
+}
+
 // publish builds a routing snapshot from the table and the view of the core.
 func (r *Runner) publish(v *ownership.View) {
 	t := r.table.Load()
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,6 +76,7 @@
 	stopped chan struct{}
 
 	contactUntil atomic.Int64
+	leases       sync.Map // target to ownership.ExtendLease
 	view         atomic.Pointer[ownership.View]
 	table        atomic.Pointer[table.Table]
 	serving      atomic.Pointer[ServingState]
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,243 @@
+// Package daemon assembles an instance: listeners, gateway, peer transport,
+// control loop and table follower, with start, graceful stop and abrupt end.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/boragegate/boragegate/internal/backend"
+	"github.com/boragegate/boragegate/internal/control"
+	"github.com/boragegate/boragegate/internal/gateway"
+	"github.com/boragegate/boragegate/internal/mtls"
+	"github.com/boragegate/boragegate/internal/peer"
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/internal/tablesync"
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/table"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	// healthInterval is the time between probes of targets without leases.
+	healthInterval = time.Second
+	probeTimeout   = 500 * time.Millisecond
+	// servingInterval is the time between checks whether the instance may serve.
+	servingInterval = 100 * time.Millisecond
+	// loadInterval is the time between load reports to the planner.
+	loadInterval = 10 * time.Second
+)
+
+// Addresses are host:port of the listeners of an instance.
+type Addresses struct{ Caller, Peer, Forward, Operator string }
+
+// Options hold what an instance needs.
+type Options struct {
+	ID, Zone, Cell string
+	// Listen has the addresses to listen on; port 0 picks a free one.
+	Listen Addresses
+	// Advertise has the addresses that other instances use; empty ones are those of Listen.
+	Advertise Addresses
+	Store     platform.Store
+	// Plain turns authentication between instances off; otherwise Keys is used.
+	Plain bool
+	Keys  mtls.Files
+	// BalancerDelay is the time between failing the readiness check and the
+	// hand-over at a planned stop, in which the balancer takes notice.
+	BalancerDelay time.Duration
+	Logger        zerolog.Logger
+	// Record takes the records of the control core; nil logs them.
+	Record control.Recorder
+}
+
+// Instance is one running instance of boragegate.
+type Instance struct {
+	opts    Options
+	logger  zerolog.Logger
+	metrics metrics.Registry
+
+	routes   route.Holder
+	gateway  *gateway.Gateway
+	peers    *peer.Transport
+	runner   *control.Runner
+	follower *tablesync.Follower
+	servers  *backend.Client
+	keys     *mtls.Material
+	lists    listeners
+
+	t        tomb.Tomb
+	stopping atomic.Bool
+}
+
+// New opens the listeners. The instance takes no requests before Start.
+func New(o Options) (*Instance, error) {
+	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New()}
+	i.logger = o.Logger.With().Str("instance", o.ID).Logger()
+	if err := i.open(); err != nil {
+		i.lists.close()
+		return nil, err
+	}
+	i.assemble()
+	return i, nil
+}
+
+// open binds the listeners, so that their addresses are known.
+func (i *Instance) open() error {
+	var err error
+	if !i.opts.Plain {
+		if i.keys, err = mtls.Load(i.opts.Keys); err != nil {
+			return err
+		}
+	}
+	if err := i.lists.open(i.opts.Listen); err != nil {
+		return err
+	}
+	i.peers, err = peer.New(peer.Config{
+		Self: i.opts.ID, Cell: i.opts.Cell, Listen: i.opts.Listen.Peer,
+		Plain: i.opts.Plain, TLS: i.opts.Keys,
+		Deliver: i.deliver, Logger: i.logger, Metrics: i.metrics,
+	})
+	return err
+}
+
+func (i *Instance) assemble() {
+	cfg := ownership.DefaultConfig()
+	cfg.Cell = i.opts.Cell
+	cfg.Incarnation = uuid.NewString()
+	cfg.Self = i.self()
+	cfg.NewPolicy = func(string) placement.Policy { return placement.NewWeighted(placement.Settings{}) }
+	i.runner = control.New(control.Config{
+		Core: cfg, Store: i.opts.Store, Servers: i.servers, Peers: i.peers,
+		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
+	})
+	i.gateway = gateway.New(gateway.Config{
+		Self: i.opts.ID, Zone: i.opts.Zone, Routes: &i.routes, Authority: i.runner,
+		ForwardTransport: i.forwardTransport(), ForwardScheme: i.forwardScheme(),
+		Logger: i.logger, Metrics: i.metrics,
+	})
+	i.follower = tablesync.New(tablesync.Config{
+		Self: i.opts.ID, Store: i.opts.Store, Peers: i.peers, Members: i.members,
+		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
+	})
+}
+
+// admissions lets the control loop stop the admission of requests.
+type admissions struct{ i *Instance }
+
+func (a admissions) StopAdmission(target string, term uint64, partitions []int, done func()) {
+	a.i.gateway.StopAdmission(target, term, partitions, done)
+}
+
+func (i *Instance) self() ownership.Member {
+	return ownership.Member{
+		ID:             i.opts.ID,
+		Zone:           i.opts.Zone,
+		PeerAddress:    first(i.opts.Advertise.Peer, i.peers.Addr().String()),
+		ForwardAddress: first(i.opts.Advertise.Forward, i.lists.forward.Addr().String()),
+	}
+}
+
+func first(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func (i *Instance) members() []ownership.Member {
+	if c := i.runner.View().Cell; c != nil {
+		return c.Members
+	}
+	return nil
+}
+
+// deliver takes a message of a peer. Messages that arrive before the control
+// loop exists are lost, like any message to a process that is not up yet.
+func (i *Instance) deliver(from string, msg ownership.Message) {
+	if !i.t.Alive() || i.runner == nil {
+		return
+	}
+	if !i.follower.Receive(from, msg) {
+		i.runner.Post(ownership.MessageReceived{From: from, Message: msg})
+	}
+}
+
+func (i *Instance) record(rec ownership.Record) {
+	if i.opts.Record != nil {
+		i.opts.Record(rec)
+	}
+	i.logger.Info().Str("event", rec.Event).Fields(rec.Fields).Send()
+}
+
+// Start starts to take part in the cell and to serve.
+func (i *Instance) Start(ctx context.Context) error {
+	if r, ok := i.opts.Store.(platform.Registrar); ok {
+		m := i.self()
+		in := platform.Instance{ID: m.ID, Zone: m.Zone, State: platform.Live, PeerAddress: m.PeerAddress, ForwardAddress: m.ForwardAddress}
+		if err := r.Register(ctx, in); err != nil {
+			i.logger.Warn().Str("event", "instance.register_failed").Err(err).Send()
+		}
+	}
+	i.runner.Start()
+	i.follower.Start()
+	i.t.Go(func() error {
+		i.t.Go(i.watchServing)
+		i.t.Go(i.probe)
+		i.t.Go(i.reportLoad)
+		i.t.Go(i.transferRecords)
+		i.serve(i.lists.caller, i.gateway.CallerHandler())
+		i.serve(i.lists.forward, i.gateway.ForwardHandler())
+		return nil
+	})
+	return nil
+}
+
+func (i *Instance) transferRecords() error {
+	err := i.gateway.Run(i.t.Context(nil)) //nolint:staticcheck // tomb takes nil for its own context
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (i *Instance) serve(ln net.Listener, h http.Handler) {
+	srv := i.lists.server(ln, h)
+	i.t.Go(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
+
+// CallerAddress is the address on which callers are served.
+func (i *Instance) CallerAddress() string { return i.lists.caller.Addr().String() }
+
+// View returns the control core's view.
+func (i *Instance) View() *ownership.View { return i.runner.View() }
+
+// Follower returns the table follower.
+func (i *Instance) Follower() *tablesync.Follower { return i.follower }
+
+// Ready reports whether the balancer may send requests, and why not. An instance
+// that is stopping is not ready, but still serves what arrives.
+func (i *Instance) Ready() (bool, string) {
+	if i.stopping.Load() {
+		return false, reasonStopping
+	}
+	s := i.routes.Load()
+	return s.Serving, s.Reason
+}
--- /dev/null
+++ b/internal/daemon/loops.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/table"
+)
+
+// Reasons why an instance takes no requests.
+const (
+	reasonNoTable     = "no table version confirmed yet"
+	reasonUnconfirmed = "table version not confirmed and not in contact with the cell"
+	reasonStopping    = "stopping"
+)
+
+// watchServing keeps the serving state up to date.
+func (i *Instance) watchServing() error {
+	last := "?"
+	for i.sleep(servingInterval) {
+		if reason := i.servingReason(); reason != last {
+			last = reason
+			i.runner.SetServing(reason == "", reason)
+			i.logger.Info().Str("event", "instance.serving").Bool("serving", reason == "").Str("reason", reason).Send()
+		}
+	}
+	return nil
+}
+
+// servingReason returns why the instance takes no requests, or "".
+func (i *Instance) servingReason() string {
+	recently, ever := i.follower.Confirmed()
+	switch {
+	case !ever:
+		return reasonNoTable
+	case !recently && !i.runner.InContact():
+		return reasonUnconfirmed
+	default:
+		return ""
+	}
+}
+
+// probe checks the health of targets that this instance controls and that have no lease.
+func (i *Instance) probe() error {
+	for i.sleep(healthInterval) {
+		t := i.follower.Table()
+		if t == nil {
+			continue
+		}
+		var wg sync.WaitGroup
+		for _, row := range i.unleased(t) {
+			wg.Go(func() { i.probeTarget(row) })
+		}
+		wg.Wait()
+	}
+	return nil
+}
+
+func (i *Instance) probeTarget(row table.Row) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	up := i.servers.Healthy(ctx, row.Address)
+	i.runner.Post(ownership.HealthObserved{Target: row.ID(), Up: up})
+}
+
+func (i *Instance) unleased(t *table.Table) []table.Row {
+	var rows []table.Row
+	held := i.runner.View().Held
+	for _, row := range t.Rows {
+		s, ok := t.Service(row.Service)
+		if _, mine := held[row.ID()]; ok && mine && !s.ChecksGrants {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func (i *Instance) reportLoad() error {
+	for i.sleep(loadInterval) {
+		if reports := i.gateway.LoadReports(); len(reports) > 0 {
+			i.runner.Post(ownership.LoadObserved{Reports: reports})
+		}
+	}
+	return nil
+}
+
+// sleep waits for the duration; it returns false when the instance ends.
+func (i *Instance) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-i.t.Dying():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/boragegate/boragegate/platform"
+)
+
+// Stop ends the instance without cutting off a request in flight: the readiness
+// check fails first, the balancer gets time to notice, everything that this
+// instance controls is handed over, and the requests in flight finish. When ctx
+// ends first, the rest is cut off and counted in the log.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.stopping.Store(true)
+	pause(ctx, i.opts.BalancerDelay)
+	handOver := i.runner.HandOver(ctx)
+	if handOver != nil {
+		i.logger.Warn().Str("event", "instance.hand_over_failed").Err(handOver).Send()
+	}
+	if r, ok := i.opts.Store.(platform.Registrar); ok {
+		_ = r.Deregister(ctx, i.opts.ID)
+	}
+	i.shutdownServers(ctx)
+	err := i.gateway.Shutdown(ctx)
+	if err != nil {
+		i.logger.Warn().Str("event", "instance.forced_stop").Int("cut_off", i.gateway.InFlight()).Send()
+	}
+	i.end()
+	if err == nil {
+		err = handOver
+	}
+	return err
+}
+
+// shutdownServers stops listening and waits for the connections to become idle.
+func (i *Instance) shutdownServers(ctx context.Context) {
+	i.lists.mu.Lock()
+	servers := append([]*http.Server(nil), i.lists.servers...)
+	i.lists.mu.Unlock()
+	for _, srv := range servers {
+		_ = srv.Shutdown(ctx)
+	}
+}
+
+// Kill ends the instance at once, as a crash does.
+func (i *Instance) Kill() { i.end() }
+
+func (i *Instance) end() {
+	i.t.Kill(nil)
+	i.lists.close()
+	_ = i.follower.Close()
+	_ = i.peers.Close()
+	_ = i.runner.Close()
+	i.servers.Close()
+	_ = i.t.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
