Add operator API, status page and metrics

Cause: operators need to change the table and to see that the change takes effect. Change: internal/operator serves table, in-force versions, status, owners, explain, events, audit, health, metrics and a status page from two small interfaces; api has the messages, client calls them, metrics renders go-metrics in the text exposition format. Measured: go test -race -count=1 ./internal/operator/... ./internal/metrics passes; 24 table entries check tokens and error codes. Conclusion: the daemon needs to implement operator.Daemon to serve it.

--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,152 @@
+// Package metrics renders a go-metrics registry in the text exposition format
+// that monitoring systems read.
+//
+// A metric's name in the registry may carry labels, see Name. Counters are
+// rendered as counters, gauges as gauges, meters as counters, histograms and
+// timers as summaries. Values of timers are seconds.
+package metrics
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// ContentType is the content type of the text exposition format.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// quantiles of summaries.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Name returns a metric name with labels given as pairs of name and value, for
+// example Name("boragegate_requests_total", "service", "route").
+func Name(base string, labels ...string) string {
+	if len(labels) < 2 {
+		return base
+	}
+	var b strings.Builder
+	b.WriteString(base)
+	for i := 0; i+1 < len(labels); i += 2 {
+		b.WriteByte("{,"[min(i, 1)])
+		b.WriteString(labels[i] + `="` + escape.Replace(labels[i+1]) + `"`)
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+var escape = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// sample is one metric of a family.
+type sample struct {
+	labels string
+	metric any
+}
+
+// Write renders all metrics of the registries, ordered by name.
+func Write(w io.Writer, registries ...gometrics.Registry) error {
+	families := map[string][]sample{}
+	for _, r := range registries {
+		r.Each(func(name string, m any) {
+			base, labels := split(name)
+			families[base] = append(families[base], sample{labels, m})
+		})
+	}
+	names := make([]string, 0, len(families))
+	for n := range families {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	b := bufio.NewWriter(w)
+	for _, n := range names {
+		writeFamily(b, n, families[n])
+	}
+	if err := b.Flush(); err != nil {
+		return fmt.Errorf("metrics: write: %w", err)
+	}
+	return nil
+}
+
+// split takes a registered name apart and replaces characters that the format
+// does not allow in names.
+func split(name string) (base, labels string) {
+	base, labels, _ = strings.Cut(name, "{")
+	base = strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_' || r == ':' {
+			return r
+		}
+		return '_'
+	}, base)
+	if base == "" || base[0] >= '0' && base[0] <= '9' {
+		base = "_" + base
+	}
+	return base, strings.TrimSuffix(labels, "}")
+}
+
+func writeFamily(b *bufio.Writer, name string, samples []sample) {
+	sort.Slice(samples, func(i, j int) bool { return samples[i].labels < samples[j].labels })
+	typ := typeOf(samples[0].metric)
+	if typ == "" {
+		return
+	}
+	if help, ok := Help[name]; ok {
+		_, _ = fmt.Fprintf(b, "# HELP %s %s\n", name, help)
+	}
+	_, _ = fmt.Fprintf(b, "# TYPE %s %s\n", name, typ)
+	for _, s := range samples {
+		writeSample(b, name, s)
+	}
+}
+
+func typeOf(m any) string {
+	switch m.(type) {
+	case gometrics.Counter, gometrics.Meter:
+		return "counter"
+	case gometrics.Gauge, gometrics.GaugeFloat64:
+		return "gauge"
+	case gometrics.Histogram, gometrics.Timer:
+		return "summary"
+	default:
+		return ""
+	}
+}
+
+func writeSample(b *bufio.Writer, name string, s sample) {
+	switch m := s.metric.(type) {
+	case gometrics.Counter:
+		line(b, name, s.labels, "", float64(m.Count()))
+	case gometrics.Gauge:
+		line(b, name, s.labels, "", float64(m.Value()))
+	case gometrics.GaugeFloat64:
+		line(b, name, s.labels, "", m.Value())
+	case gometrics.Histogram:
+		h := m.Snapshot()
+		summary(b, name, s.labels, h.Percentiles(quantiles), h.Count(), float64(h.Sum()), 1)
+	case gometrics.Timer:
+		t := m.Snapshot()
+		summary(b, name, s.labels, t.Percentiles(quantiles), t.Count(), float64(t.Sum()), 1/float64(time.Second))
+	case gometrics.Meter:
+		line(b, name, s.labels, "", float64(m.Snapshot().Count()))
+	}
+}
+
+func summary(b *bufio.Writer, name, labels string, values []float64, count int64, sum, unit float64) {
+	for i, q := range quantiles {
+		line(b, name, labels, `quantile="`+strconv.FormatFloat(q, 'g', -1, 64)+`"`, values[i]*unit)
+	}
+	line(b, name+"_sum", labels, "", sum*unit)
+	line(b, name+"_count", labels, "", float64(count))
+}
+
+func line(b *bufio.Writer, name, labels, extra string, v float64) {
+	b.WriteString(name) //nolint:errcheck,gosec // Flush reports it
+	if all := strings.Trim(labels+","+extra, ","); all != "" {
+		b.WriteString("{" + all + "}") //nolint:errcheck,gosec // as above
+	}
+	b.WriteString(" " + strconv.FormatFloat(v, 'g', -1, 64) + "\n") //nolint:errcheck,gosec // as above
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,172 @@
+package operator_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/boragegate/boragegate/internal/operator"
+	"github.com/boragegate/boragegate/internal/operator/api"
+	"github.com/boragegate/boragegate/internal/operator/operatortest"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/table/tablestore"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operator")
+}
+
+// call sends a request as anna, unless the header says otherwise.
+func call(f *operatortest.Fake, method, target, body string, header ...string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, target, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+operatortest.TokenAnna)
+	if len(header) == 2 {
+		req.Header.Set(header[0], header[1])
+	}
+	w := httptest.NewRecorder()
+	f.Handler.ServeHTTP(w, req)
+	return w
+}
+
+func problem(w *httptest.ResponseRecorder) api.Problem {
+	var p api.Problem
+	Expect(w.Header().Get("Content-Type")).To(Equal(api.ProblemType))
+	Expect(json.Unmarshal(w.Body.Bytes(), &p)).To(Succeed())
+	Expect(p.Status).To(Equal(w.Code))
+	return p
+}
+
+// TestPage guards against a page that lacks load against weight, ownership or
+// the version in force of an instance, or that loads something from elsewhere.
+func TestPage(t *testing.T) {
+	RegisterTestingT(t)
+	f := operatortest.New()
+	f.NotReady = "a <script> reason"
+	w := call(f, "GET", "/", "")
+	goldie.New(t).Assert(t, "page", w.Body.Bytes())
+	Expect(w.Body.String()).NotTo(ContainSubstring("://"))
+	Expect(w.Header().Get("Content-Security-Policy")).To(HavePrefix("default-src 'none'"))
+}
+
+// TestMetrics guards against output that monitoring systems cannot parse.
+func TestMetrics(t *testing.T) {
+	w := call(operatortest.New(), "GET", "/metrics", "")
+	goldie.New(t).Assert(t, "metrics", w.Body.Bytes())
+}
+
+const change = `{"base": 1, "table": {"services": [{"name": "route"}],
+	"rows": [{"service": "route", "target": "r1", "address": "10.0.1.1:8080", "zone": "buda", "slots": 3}]}}`
+
+var _ = Describe("API", func() {
+	var f *operatortest.Fake
+	BeforeEach(func() { f = operatortest.New() })
+
+	It("keeps liveness apart from readiness, so that an instance that must not serve is not restarted", func() {
+		f.NotReady = "no confirmation"
+		Expect(call(f, "GET", "/healthz", "").Code).To(Equal(200))
+		w := call(f, "GET", "/readyz", "")
+		Expect(w.Code).To(Equal(503))
+		Expect(w.Body.String()).To(Equal("not ready: no confirmation\n"))
+	})
+
+	It("names the operator of the token in record and audit trail", func() {
+		w := call(f, "PUT", "/v1/table", change, "Authorization", "Bearer "+operatortest.TokenBela)
+		Expect(w.Code).To(Equal(200), w.Body.String())
+		var a api.Applied
+		Expect(json.Unmarshal(w.Body.Bytes(), &a)).To(Succeed())
+		Expect(a).To(And(HaveField("Operator", "bela"), HaveField("Version.Version", uint64(2))))
+		list, err := f.Audit(GinkgoT().Context(), 0, 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list).To(HaveExactElements(And(HaveField("Operator", "bela"), HaveField("Event", "table.accepted"))))
+	})
+
+	DescribeTable("refuses requests without a valid token",
+		func(method, target, authorization string, code int) {
+			Expect(call(f, method, target, change, "Authorization", authorization).Code).To(Equal(code))
+		},
+		Entry("none", "GET", "/v1/table", "", 401),
+		Entry("wrong", "GET", "/v1/table", "Bearer x", 401),
+		Entry("empty", "PUT", "/v1/table", "Bearer ", 401),
+		Entry("status page", "GET", "/", "", 401),
+		Entry("basic authentication is for reads only", "PUT", "/v1/table", basic(), 401),
+		Entry("basic authentication reads", "GET", "/v1/table", basic(), 200),
+		Entry("probes need none", "GET", "/healthz", "", 200),
+		Entry("scrapes need none", "GET", "/metrics", "", 200),
+	)
+
+	It("lets nobody change anything when no operators are configured", func() {
+		f.Handler = operator.New(operator.Options{Tables: f.Tables, Daemon: f.Daemon})
+		Expect(problem(call(f, "PUT", "/v1/table", change)).Code).To(Equal(api.CodeForbidden))
+		Expect(call(f, "GET", "/v1/table", "", "Authorization", "").Code).To(Equal(200))
+	})
+
+	DescribeTable("answers errors with a stable code",
+		func(method, target, body string, code api.Code) {
+			Expect(problem(call(f, method, target, body)).Code).To(Equal(code))
+		},
+		Entry("unknown path", "GET", "/v2", "", api.CodeNotFound),
+		Entry("wrong method", "DELETE", "/v1/table", "", api.CodeNotAllowed),
+		Entry("no JSON", "PUT", "/v1/table", "x", api.CodeBadRequest),
+		Entry("huge body", "PUT", "/v1/table", strings.Repeat(" ", 3<<20), api.CodeTooLarge),
+		Entry("findings", "PUT", "/v1/table", `{"base": 1, "table": {"rows": [{}]}}`, api.CodeFindings),
+		Entry("no table", "PUT", "/v1/table", `{"base": 1}`, api.CodeFindings),
+		Entry("conflict", "PUT", "/v1/table", strings.Replace(change, `"base": 1`, `"base": 0`, 1), api.CodeConflict),
+		Entry("unknown version", "GET", "/v1/table/versions/9", "", api.CodeNotFound),
+		Entry("bad version", "GET", "/v1/table/versions/x", "", api.CodeBadRequest),
+		Entry("unknown service", "GET", "/v1/owners?service=x", "", api.CodeNotFound),
+		Entry("unknown service in list", "GET", "/v1/services?service=x", "", api.CodeNotFound),
+		Entry("missing key", "GET", "/v1/explain?service=route", "", api.CodeBadRequest),
+		Entry("limit 0", "GET", "/v1/events?limit=0", "", api.CodeBadRequest),
+		Entry("huge limit", "GET", "/v1/audit?limit=5000", "", api.CodeBadRequest),
+		Entry("unknown instance", "POST", "/v1/instances/forget", `{"instances": ["i9"]}`, api.CodeNotFound),
+		Entry("rollback to nothing", "POST", "/v1/table/rollback", `{"to": 7, "base": 1}`, api.CodeNotFound),
+	)
+
+	It("says that nothing was changed when the store is down", func() {
+		f.Store.SetFaults(memory.Faults{Down: true})
+		Expect(problem(call(f, "PUT", "/v1/table", change)).Code).To(Equal(api.CodeUnavailable))
+	})
+
+	It("reports an unknown outcome as such and enters it into the audit trail", func() {
+		f.Handler = operator.New(operator.Options{
+			Tables: unknownTables{f.Tables}, Daemon: f.Daemon,
+			Tokens: map[[32]byte]string{sha256.Sum256([]byte(operatortest.TokenAnna)): "anna"},
+		})
+		Expect(problem(call(f, "PUT", "/v1/table", change))).To(And(HaveField("Code", api.CodeUnknown), HaveField("Version", uint64(2))))
+		list, _ := f.Audit(GinkgoT().Context(), 0, 1)
+		Expect(list).To(HaveExactElements(HaveField("Event", "table.outcome_unknown")))
+	})
+
+	It("names the instances that lag and why", func() {
+		Expect(call(f, "PUT", "/v1/table", change).Code).To(Equal(200))
+		f.Behind = 1
+		var got api.InForce
+		Expect(json.Unmarshal(call(f, "GET", "/v1/table/in-force", "").Body.Bytes(), &got)).To(Succeed())
+		Expect(got.Everywhere).To(BeFalse())
+		Expect(got.Instances[2].Reason).To(Equal("still uses version 1: no heartbeat, last heard 1.5 s ago"))
+		Expect(got.Instances[0].InForce).To(BeTrue())
+	})
+})
+
+// unknownTables loses the outcome of every change.
+type unknownTables struct{ operator.Tables }
+
+func (unknownTables) Apply(context.Context, tablestore.Request) (*tablestore.Result, error) {
+	return nil, &tablestore.UnknownError{Version: 2, Writer: "w", Cause: platform.ErrUnavailable}
+}
+
+func basic() string {
+	req, _ := http.NewRequest(http.MethodGet, "/", nil) //nolint:noctx // only for its header
+	req.SetBasicAuth("anna", operatortest.TokenAnna)
+	return req.Header.Get("Authorization")
+}
--- /dev/null
+++ b/internal/operator/problem.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/boragegate/boragegate/finding"
+	"github.com/boragegate/boragegate/internal/operator/api"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/table/tablestore"
+)
+
+var (
+	errNotFound     = problem(http.StatusNotFound, api.CodeNotFound, "there is nothing at this path")
+	errNotAllowed   = problem(http.StatusMethodNotAllowed, api.CodeNotAllowed, "the path does not take this method")
+	errUnauthorized = problem(http.StatusUnauthorized, api.CodeUnauthorized, "an operator's token is needed")
+	errNoOperators  = problem(http.StatusForbidden, api.CodeForbidden, "the settings of this instance name no operators, so nobody can make changes")
+)
+
+func problem(status int, code api.Code, detail string) *api.Problem {
+	return &api.Problem{Title: http.StatusText(status), Status: status, Code: code, Detail: detail}
+}
+
+// problems turns errors of a handler into answers.
+func problems(next bunrouter.HandlerFunc) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, req bunrouter.Request) error {
+		if err := next(w, req); err != nil {
+			p := problemOf(err)
+			w.Header().Set("Content-Type", api.ProblemType)
+			w.WriteHeader(p.Status)
+			return json.NewEncoder(w).Encode(p)
+		}
+		return nil
+	}
+}
+
+func problemOf(err error) *api.Problem {
+	var (
+		p        *api.Problem
+		list     finding.List
+		conflict *tablestore.ConflictError
+		unknown  *tablestore.UnknownError
+		tooLarge *http.MaxBytesError
+	)
+	switch {
+	case errors.As(err, &p):
+		return p
+	case errors.As(err, &list):
+		p = problem(http.StatusUnprocessableEntity, api.CodeFindings, err.Error())
+		p.Findings = list
+	case errors.As(err, &conflict):
+		p = problem(http.StatusConflict, api.CodeConflict, err.Error())
+		p.Conflict = &api.Conflict{
+			Base: conflict.Base, Current: conflict.Current, By: conflict.By,
+			Mine: conflict.Mine, Theirs: conflict.Theirs, Rows: conflict.Rows,
+		}
+	case errors.As(err, &unknown):
+		p = problem(http.StatusGatewayTimeout, api.CodeUnknown, err.Error())
+		p.Version = unknown.Version
+	case errors.As(err, &tooLarge):
+		p = problem(http.StatusRequestEntityTooLarge, api.CodeTooLarge, err.Error())
+	default:
+		p = plainProblem(err)
+	}
+	return p
+}
+
+func plainProblem(err error) *api.Problem {
+	for _, c := range []struct {
+		target error
+		status int
+		code   api.Code
+	}{
+		{platform.ErrNotFound, http.StatusNotFound, api.CodeNotFound},
+		{platform.ErrConflict, http.StatusConflict, api.CodeConflict},
+		{platform.ErrTooLarge, http.StatusRequestEntityTooLarge, api.CodeTooLarge},
+		{platform.ErrOutcomeUnknown, http.StatusGatewayTimeout, api.CodeUnknown},
+		{platform.ErrUnavailable, http.StatusServiceUnavailable, api.CodeUnavailable},
+		{tablestore.ErrStaleRead, http.StatusServiceUnavailable, api.CodeUnavailable},
+		{context.DeadlineExceeded, http.StatusServiceUnavailable, api.CodeUnavailable},
+		{context.Canceled, http.StatusServiceUnavailable, api.CodeUnavailable},
+	} {
+		if errors.Is(err, c.target) {
+			return problem(c.status, c.code, err.Error())
+		}
+	}
+	return problem(http.StatusInternalServerError, api.CodeInternal, err.Error())
+}
--- /dev/null
+++ b/internal/operator/reads.go
@@ -0,0 +1,159 @@
+package operator
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/boragegate/boragegate/internal/metrics"
+	"github.com/boragegate/boragegate/internal/operator/api"
+)
+
+func (s *server) status(w http.ResponseWriter, _ bunrouter.Request) error {
+	return send(w, s.Daemon.Status())
+}
+
+func (s *server) instances(w http.ResponseWriter, _ bunrouter.Request) error {
+	return send(w, orEmpty(s.Daemon.Instances()))
+}
+
+// services returns all services, or the one in the query.
+func (s *server) services(w http.ResponseWriter, req bunrouter.Request) error {
+	name := req.URL.Query().Get("service")
+	all := orEmpty(s.Daemon.Services())
+	if name == "" {
+		return send(w, all)
+	}
+	for _, v := range all {
+		if v.Name == name {
+			return send(w, []api.Service{v})
+		}
+	}
+	return notFound("service " + strconv.Quote(name))
+}
+
+func (s *server) owners(w http.ResponseWriter, req bunrouter.Request) error {
+	service := req.URL.Query().Get("service")
+	if service == "" {
+		return badRequest("the query needs a service")
+	}
+	o, err := s.Daemon.Owners(service)
+	if err != nil {
+		return err
+	}
+	return send(w, o)
+}
+
+func (s *server) explain(w http.ResponseWriter, req bunrouter.Request) error {
+	q := req.URL.Query()
+	service, key := q.Get("service"), q.Get("key")
+	if service == "" || key == "" || len(key) > maxKeyBytes {
+		return badRequest("the query needs a service and a key of at most " + strconv.Itoa(maxKeyBytes) + " bytes")
+	}
+	e, err := s.Daemon.Explain(service, key)
+	if err != nil {
+		return err
+	}
+	return send(w, e)
+}
+
+func (s *server) events(w http.ResponseWriter, req bunrouter.Request) error {
+	_, limit, err := page(req)
+	if err != nil {
+		return err
+	}
+	return send(w, orEmpty(s.Daemon.Events(limit)))
+}
+
+func (s *server) audit(w http.ResponseWriter, req bunrouter.Request) error {
+	before, limit, err := page(req)
+	if err != nil {
+		return err
+	}
+	list, err := s.Daemon.Audit(req.Context(), before, limit)
+	if err != nil {
+		return err
+	}
+	return send(w, orEmpty(list))
+}
+
+// forget enters the command into the audit trail before it takes effect: it
+// overrides the majority rule.
+func (s *server) forget(w http.ResponseWriter, req bunrouter.Request) error {
+	var in api.Forget
+	if err := receive(req, &in); err != nil {
+		return err
+	}
+	if len(in.Instances) == 0 {
+		return badRequest("name the instances to forget")
+	}
+	op := operatorOf(req.Context())
+	s.Daemon.RecordAudit(op, "instances.forget", map[string]string{"instances": strings.Join(in.Instances, ",")})
+	if err := s.Daemon.Forget(req.Context(), in.Instances); err != nil {
+		return err
+	}
+	return send(w, in)
+}
+
+// health says that the process runs and answers, whatever its state.
+func (s *server) health(w http.ResponseWriter, _ bunrouter.Request) error {
+	return plain(w, http.StatusOK, "ok")
+}
+
+// ready says whether the instance takes requests.
+func (s *server) ready(w http.ResponseWriter, _ bunrouter.Request) error {
+	if st := s.Daemon.Status(); !st.Ready {
+		return plain(w, http.StatusServiceUnavailable, "not ready: "+st.Reason)
+	}
+	return plain(w, http.StatusOK, "ready")
+}
+
+func (s *server) metrics(w http.ResponseWriter, _ bunrouter.Request) error {
+	w.Header().Set("Content-Type", metrics.ContentType)
+	return metrics.Write(w, s.Registry, stateMetrics(s.Daemon))
+}
+
+func plain(w http.ResponseWriter, status int, text string) error {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+	return nil
+}
+
+// page reads the query parameters "before" and "limit".
+func page(req bunrouter.Request) (before uint64, limit int, err error) {
+	if before, err = number(req, "before", 0); err != nil {
+		return 0, 0, err
+	}
+	n, err := number(req, "limit", defaultListEntries)
+	if err != nil {
+		return 0, 0, err
+	}
+	if n == 0 || n > maxListEntries {
+		return 0, 0, badRequest("limit is not a number from 1 to " + strconv.Itoa(maxListEntries))
+	}
+	return before, int(n), nil
+}
+
+func number(req bunrouter.Request, name string, fallback uint64) (uint64, error) {
+	text := req.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, badRequest(name + " is not a number")
+	}
+	return n, nil
+}
+
+// orEmpty makes JSON of an empty list "[]" instead of "null".
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/operator/statemetrics.go
@@ -0,0 +1,55 @@
+package operator
+
+import (
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/boragegate/boragegate/internal/metrics"
+	"github.com/boragegate/boragegate/internal/operator/api"
+)
+
+// stateMetrics returns gauges of the state of the instance at this moment.
+func stateMetrics(d Daemon) gometrics.Registry {
+	r := gometrics.NewRegistry()
+	set := func(v float64, name string, labels ...string) {
+		gometrics.GetOrRegisterGaugeFloat64(metrics.Name(name, labels...), r).Update(v)
+	}
+	st := d.Status()
+	set(one(st.Ready), metrics.Ready)
+	set(one(st.InContact), metrics.InContact)
+	set(one(st.StoreAvailable), metrics.StoreAvailable)
+	set(float64(st.TableVersion), metrics.TableVersion)
+	set(float64(st.TableConfirmedMS)/1000, metrics.TableAge)
+	behind := 0
+	for _, in := range d.Instances() {
+		if in.TableVersion < st.TableVersion {
+			behind++
+		}
+	}
+	set(float64(behind), metrics.InstancesBehind)
+	for _, s := range d.Services() {
+		set(float64(s.Unowned), metrics.Unowned, "service", s.Name)
+		set(float64(s.Moves), metrics.MovesPending, "service", s.Name)
+		set(s.Imbalance, metrics.Imbalance, "service", s.Name)
+		targetMetrics(set, s)
+	}
+	return r
+}
+
+func targetMetrics(set func(v float64, name string, labels ...string), s api.Service) {
+	for _, t := range s.Targets {
+		labels := []string{"service", s.Name, "target", t.Name}
+		set(float64(t.Partitions), metrics.Partitions, labels...)
+		set(float64(t.Slots), metrics.Slots, labels...)
+		set(float64(t.InUse), metrics.InUse, labels...)
+		set(float64(t.Queued), metrics.Queued, labels...)
+		set(t.WeightShare, metrics.WeightShare, labels...)
+		set(t.LoadShare, metrics.LoadShare, labels...)
+	}
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/operator/tables.go
@@ -0,0 +1,216 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/boragegate/boragegate/internal/operator/api"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/table"
+	"github.com/boragegate/boragegate/table/tablestore"
+)
+
+func versionOf(r *tablestore.Record) api.Version {
+	return api.Version{
+		Version: r.Version, Action: string(r.Action), Operator: r.Operator,
+		Comment: r.Comment, Time: r.Time, From: r.From,
+	}
+}
+
+func sendTable(w http.ResponseWriter, r *tablestore.Record) error {
+	content, err := table.Encode(r.Table)
+	if err != nil {
+		return err
+	}
+	return send(w, api.Table{Version: versionOf(r), Table: content})
+}
+
+func (s *server) tableGet(w http.ResponseWriter, req bunrouter.Request) error {
+	r, err := s.Tables.Get(req.Context())
+	if err != nil {
+		return err
+	}
+	return sendTable(w, r)
+}
+
+func (s *server) version(w http.ResponseWriter, req bunrouter.Request) error {
+	v, err := strconv.ParseUint(req.Param("version"), 10, 64)
+	if err != nil {
+		return badRequest("the version is not a number")
+	}
+	r, err := s.Tables.Version(req.Context(), v)
+	if err != nil {
+		return err
+	}
+	return sendTable(w, r)
+}
+
+func (s *server) history(w http.ResponseWriter, req bunrouter.Request) error {
+	before, limit, err := page(req)
+	if err != nil {
+		return err
+	}
+	records, err := s.Tables.History(req.Context(), before, limit)
+	if err != nil {
+		return err
+	}
+	list := make([]api.Version, len(records))
+	for i, r := range records {
+		list[i] = versionOf(r)
+	}
+	return send(w, list)
+}
+
+func (s *server) apply(w http.ResponseWriter, req bunrouter.Request) error {
+	var in api.Apply
+	if err := receive(req, &in); err != nil {
+		return err
+	}
+	t, err := table.ParseWith("table", in.Table, table.Options{Zones: s.Zones})
+	if err != nil {
+		return err
+	}
+	op := operatorOf(req.Context())
+	result, err := s.Tables.Apply(req.Context(), tablestore.Request{
+		Table: t, Base: in.Base, Operator: op, Comment: in.Comment, Merge: in.Merge,
+	})
+	return s.changed(w, op, result, err)
+}
+
+func (s *server) rollback(w http.ResponseWriter, req bunrouter.Request) error {
+	var in api.Rollback
+	if err := receive(req, &in); err != nil {
+		return err
+	}
+	op := operatorOf(req.Context())
+	result, err := s.Tables.Rollback(req.Context(), in.To, in.Base, op, in.Comment)
+	return s.changed(w, op, result, err)
+}
+
+// changed answers a change and enters it into the audit trail.
+func (s *server) changed(w http.ResponseWriter, op string, result *tablestore.Result, err error) error {
+	var unknown *tablestore.UnknownError
+	if errors.As(err, &unknown) {
+		s.Daemon.RecordAudit(op, "table.outcome_unknown", map[string]string{"version": strconv.FormatUint(unknown.Version, 10)})
+	}
+	if err != nil {
+		return err
+	}
+	r, unchanged := result.Record, result.Changes.Empty()
+	if !unchanged {
+		s.Daemon.RecordAudit(op, "table.accepted", auditFields(r, result.Changes))
+	}
+	changes, err := json.Marshal(result.Changes)
+	if err != nil {
+		return err
+	}
+	return send(w, api.Applied{Version: versionOf(r), Unchanged: unchanged, Changes: changes})
+}
+
+// maxAuditChanges bounds the entries that the audit trail names of one change.
+const maxAuditChanges = 20
+
+func auditFields(r *tablestore.Record, c table.Changes) map[string]string {
+	f := map[string]string{
+		"version": strconv.FormatUint(r.Version, 10), "action": string(r.Action),
+		"changes": strconv.Itoa(len(c.Changes)),
+	}
+	if r.Comment != "" {
+		f["comment"] = r.Comment
+	}
+	if r.From > 0 {
+		f["from"] = strconv.FormatUint(r.From, 10)
+	}
+	var names []string
+	for _, ch := range c.Changes[:min(maxAuditChanges, len(c.Changes))] {
+		names = append(names, string(ch.Kind)+" "+ch.Type+" "+ch.ID)
+	}
+	f["entries"] = strings.Join(names, ", ")
+	return f
+}
+
+func (s *server) inForce(w http.ResponseWriter, req bunrouter.Request) error {
+	version, err := number(req, "version", 0)
+	if err != nil {
+		return err
+	}
+	if version == 0 {
+		r, err := s.Tables.Get(req.Context())
+		if err != nil {
+			return err
+		}
+		version = r.Version
+	}
+	return send(w, inForceOf(version, s.Daemon.Instances()))
+}
+
+// Reasons for an instance not to have a version in force.
+const (
+	reasonUnknown = "has not reported a version"
+	reasonOlder   = "still uses version %d"
+)
+
+func inForceOf(version uint64, instances []api.Instance) api.InForce {
+	f := api.InForce{Version: version, Everywhere: len(instances) > 0, Instances: []api.InstanceInForce{}}
+	for _, in := range instances {
+		i := api.InstanceInForce{Instance: in.ID, Zone: in.Zone, Version: in.TableVersion, InForce: in.TableVersion >= version}
+		if !i.InForce {
+			f.Everywhere = false
+			i.Reason = lagReason(in)
+		}
+		f.Instances = append(f.Instances, i)
+	}
+	return f
+}
+
+func lagReason(in api.Instance) string {
+	reason := reasonUnknown
+	if in.TableVersion > 0 {
+		reason = fmt.Sprintf(reasonOlder, in.TableVersion)
+	}
+	if in.Reason != "" {
+		reason += ": " + in.Reason
+	}
+	if in.HeardMS > 0 {
+		reason += fmt.Sprintf(", last heard %.1f s ago", float64(in.HeardMS)/1000)
+	}
+	return reason
+}
+
+func receive(req bunrouter.Request, v any) error {
+	b, err := io.ReadAll(req.Body)
+	if err != nil {
+		return fmt.Errorf("read request: %w", err)
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return badRequest("the body is not the expected JSON: " + err.Error())
+	}
+	return nil
+}
+
+func send(w http.ResponseWriter, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode answer: %w", err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = w.Write(append(b, '\n')) // the caller is gone if this fails
+	return nil
+}
+
+func badRequest(detail string) error {
+	return problem(http.StatusBadRequest, api.CodeBadRequest, detail)
+}
+
+var _ Tables = (*tablestore.Tables)(nil)
+
+// notFound says what does not exist.
+func notFound(what string) error { return fmt.Errorf("%s: %w", what, platform.ErrNotFound) }
--- a/table/tablestore/record.go
+++ b/table/tablestore/record.go
@@ -83,11 +83,11 @@
 	if err := json.Unmarshal(obj.Value, &v); err != nil {
 		return nil, fmt.Errorf("tablestore: decode %s/%s: %w", obj.Kind, obj.Name, err)
 	}
-	if v.Table.Version == 0 {
+	if v.Version == 0 {
 		return nil, fmt.Errorf("tablestore: %s/%s has no version", obj.Kind, obj.Name)
 	}
 	r := v.Change
-	r.Version = v.Table.Version
+	r.Version = v.Version
 	r.Table, r.Value, r.object = &v.Table, obj.Value, obj.Version
 	return &r, nil
 }
