Add idempotency records, target selection and load reports

Cause: requests that must not be repeated had no record, services without keys went to the first ready target, and the planner got no load. Two random choices by weight select targets, with measured response times and the load that answers of forwarded requests carry.

--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,186 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestAdmission(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admission")
+}
+
+var _ = Describe("Gate", func() {
+	var (
+		clock *clockwork.FakeClock
+		gate  *Gate
+		order chan string
+	)
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		gate = NewGate(Limits{Slots: 2, Queue: 8}, clock)
+		order = make(chan string, 32)
+	})
+	request := func(key string, c Class) Request {
+		return Request{Class: c, Key: key, Deadline: clock.Now().Add(time.Second)}
+	}
+	acquire := func(r Request) *Ticket {
+		GinkgoHelper()
+		t, err := gate.Acquire(context.Background(), r)
+		Expect(err).NotTo(HaveOccurred())
+		return t
+	}
+	// queue lets a request wait; its key appears in order when it is admitted.
+	queue := func(ctx context.Context, r Request) (result chan error) {
+		GinkgoHelper()
+		before := gate.Load().Queued
+		result = make(chan error, 1)
+		go func() {
+			t, err := gate.Acquire(ctx, r)
+			if err == nil {
+				order <- r.Key
+				t.Release()
+			}
+			result <- err
+		}()
+		Eventually(func() int { return gate.Load().Queued }).Should(Equal(before + 1))
+		return result
+	}
+	reason := func(err error) Reason {
+		refusal := new(Refusal)
+		Expect(errors.As(err, &refusal)).To(BeTrue(), "%v", err)
+		return refusal.Reason
+	}
+
+	It("serves the keys in turn and bounds each key's share of the queue", func() {
+		// Guards against a hot key that delays or displaces all others.
+		a, b := acquire(request("hot", Interactive)), acquire(request("hot", Interactive))
+		queue(context.Background(), request("hot", Interactive))
+		queue(context.Background(), request("hot", Interactive))
+		_, err := gate.Acquire(context.Background(), request("hot", Interactive))
+		Expect(reason(err)).To(Equal(ReasonKeyShare))
+		queue(context.Background(), request("cold", Interactive))
+		a.Release()
+		Eventually(order).Should(HaveLen(3))
+		Expect([]string{<-order, <-order, <-order}).To(Equal([]string{"hot", "cold", "hot"}))
+		b.Release()
+	})
+
+	It("keeps slots for short calls while bulk requests wait", func() {
+		// Guards against downloads that occupy all slots, in both directions.
+		bulk := acquire(request("pack", Bulk))
+		queue(context.Background(), request("pack2", Bulk))
+		short := acquire(request("call", Interactive))
+		queue(context.Background(), request("call2", Interactive))
+		short.Release()
+		Eventually(order).Should(Receive(Equal("call2")))
+		Consistently(order, "20ms").ShouldNot(Receive())
+		bulk.Release()
+		Eventually(order).Should(Receive(Equal("pack2")))
+	})
+
+	It("lets the classes take turns at a single slot", func() {
+		gate.SetLimits(Limits{Slots: 1, Queue: 8})
+		held := acquire(request("first", Interactive))
+		for _, key := range []string{"b1", "b2"} {
+			queue(context.Background(), request(key, Bulk))
+		}
+		for _, key := range []string{"i1", "i2"} {
+			queue(context.Background(), request(key, Interactive))
+		}
+		held.Release()
+		Eventually(order).Should(HaveLen(4))
+		Expect([]string{<-order, <-order, <-order, <-order}).To(Equal([]string{"b1", "i1", "b2", "i2"}))
+	})
+
+	It("refuses at once what cannot finish by its deadline", func() {
+		// Guards against slots that work for callers which have given up.
+		warm := acquire(request("k", Interactive))
+		clock.Advance(400 * time.Millisecond)
+		warm.Release()
+		acquire(request("a", Interactive))
+		acquire(request("b", Interactive))
+		queue(context.Background(), request("c", Interactive))
+		late := request("d", Interactive)
+		late.Deadline = clock.Now().Add(250 * time.Millisecond)
+		_, err := gate.Acquire(context.Background(), late)
+		Expect(reason(err)).To(Equal(ReasonDeadline))
+	})
+
+	It("frees the place of a caller that has gone", func() {
+		acquire(request("a", Interactive))
+		acquire(request("b", Interactive))
+		ctx, cancel := context.WithCancel(context.Background())
+		result := queue(ctx, request("c", Interactive))
+		cancel()
+		Eventually(result).Should(Receive(MatchError(context.Canceled)))
+		Expect(gate.Load().Queued).To(BeZero())
+	})
+
+	It("holds the rate and the server's pause", func() {
+		// Guards against more requests per second than the table allows, and
+		// against requests to a server that has asked for a pause.
+		gate.SetLimits(Limits{Slots: 50, Queue: 8, Rate: 10})
+		acquire(request("a", Interactive)).Release()
+		r := request("b", Interactive)
+		r.Deadline = clock.Now().Add(50 * time.Millisecond)
+		_, err := gate.Acquire(context.Background(), r)
+		Expect(reason(err)).To(Equal(ReasonRate))
+		clock.Advance(100 * time.Millisecond)
+		gate.Pause(time.Hour)
+		_, err = gate.Acquire(context.Background(), request("c", Interactive))
+		Expect(reason(err)).To(Equal(ReasonShedding))
+		clock.Advance(maxPause)
+		acquire(request("d", Interactive)).Release()
+	})
+})
+
+// TestFairQueue guards against lost, doubled or reordered waiters, and against a
+// key that waits for more than one request of each other key.
+func TestFairQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q fairQueue
+		waiting := map[string][]*waiter{}
+		n := 0
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			key := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))
+			switch ws := waiting[key]; rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				w := &waiter{req: Request{Key: key}}
+				q.push(w)
+				waiting[key] = append(ws, w)
+				n++
+			case 1:
+				if len(ws) > 0 {
+					q.remove(ws[len(ws)-1])
+					waiting[key] = ws[:len(ws)-1]
+					n--
+				}
+			case 2:
+				w := q.pop()
+				if (w == nil) != (n == 0) {
+					t.Fatalf("pop: %v with %d waiting", w, n)
+				}
+				if w == nil {
+					continue
+				}
+				if ws := waiting[w.req.Key]; ws[0] != w {
+					t.Fatalf("key %s is not served in order", w.req.Key)
+				}
+				waiting[w.req.Key] = waiting[w.req.Key][1:]
+				n--
+			}
+			if q.len != n || q.lenOf(key) != len(waiting[key]) {
+				t.Fatalf("length %d, want %d", q.len, n)
+			}
+		}
+	})
+}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -14,6 +14,10 @@
 // cannot hold a slot by sending slowly.
 const bodyPrefix = 64 << 10
 
+// maxOnceBody is the largest body of a request with an idempotency key. The
+// whole body has to be known to tell it from another request with the same key.
+const maxOnceBody = 1 << 20
+
 // body is a request body that can be sent again unless more than its prefix was used.
 type body struct {
 	prefix []byte
@@ -35,6 +39,9 @@
 	in := &stallReader{r: limited, rc: http.NewResponseController(w), limit: g.cfg.StallTimeout}
 	in.end, _ = c.ctx.Deadline()
 	size := int64(bodyPrefix)
+	if c.idem != "" {
+		size = maxOnceBody
+	}
 	if r.ContentLength > 0 {
 		size = min(size, r.ContentLength)
 	}
@@ -46,7 +53,10 @@
 		b.length = int64(n)
 	case err != nil:
 		return nil, bodyFailure(err)
-	case int64(n) != r.ContentLength:
+	case int64(n) == r.ContentLength:
+	case c.idem != "":
+		return nil, tooLarge()
+	default:
 		b.rest = in
 	}
 	return b, nil
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"time"
 )
@@ -68,6 +69,10 @@
 func (g *Gateway) serveForward(w http.ResponseWriter, r *http.Request) {
 	g.active.begin()
 	defer g.active.end()
+	if r.URL.Path == recordsPath {
+		g.serveRecords(w, r)
+		return
+	}
 	id := r.Header.Get(headerRequestID)
 	snapshot := g.cfg.Routes.Load()
 	c, cancel, f := g.newCall(r, snapshot)
@@ -90,10 +95,13 @@
 		resp, f = g.runHere(c, d) //nolint:bodyclose // relay closes it
 	}
 	if f != nil {
+		if d.target != nil && d.target.Local {
+			maps.Copy(w.Header(), g.loadHeader(g.targets.of(d.target)))
+		}
 		g.refuseForwarded(w, r, id, f)
 		return
 	}
-	g.relay(w, resp, g.loadHeader(d.target))
+	g.relay(w, resp, g.loadHeader(g.targets.of(d.target)))
 }
 
 // forwardedTo finds the target of a forwarded request in this instance's own
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/boragegate/boragegate/retry"
@@ -42,23 +44,30 @@
 				return resp, nil
 			}
 		}
-		wait := routedBackoff.Wait(attempt)
-		switch {
-		case f.again == againNever || !c.body.repeatable() || c.ctx.Err() != nil:
+		if f.again == againNever || !c.body.repeatable() || c.ctx.Err() != nil {
 			return nil, f
-		case f.again == againLater:
+		}
+		wait := routedBackoff.Wait(attempt)
+		if f.again != againRouted {
 			later++
-			wait = laterBackoff.Wait(later)
-			if later >= maxLaterAttempts || f.retryAfter > wait || !budget.Take() {
+			wait, changed = g.laterWait(f, later), nil
+			if later >= maxLaterAttempts || f.retryAfter > wait && f.again == againLater || !budget.Take() {
 				return nil, f
 			}
-			changed = nil
 		}
 		if g.clock.Now().Add(wait).After(giveUp) || !g.pause(c, wait, changed) {
 			return nil, f
 		}
-		retriesCounter(g.cfg.Metrics, c.service.Name).Inc(1)
+		g.meters.of(c.service.Name, g.cfg.Metrics).retries.Inc(1)
+	}
+}
+
+// laterWait is the wait after a failure that may pass. Another target is tried at once.
+func (g *Gateway) laterWait(f *failure, later int) time.Duration {
+	if f.again == againElsewhere {
+		return 0
 	}
+	return laterBackoff.Wait(later)
 }
 
 // pause waits for a new snapshot or the time. It returns false if the request
@@ -80,9 +89,62 @@
 	return true
 }
 
+// attempt runs the request at one destination.
 func (g *Gateway) attempt(c *call, d destination) (*http.Response, *failure) {
+	run := g.forward
 	if d.target.Local {
-		return g.runHere(c, d)
+		run = g.runHere
+	}
+	if d.partition != noPartition {
+		return run(c, d)
+	}
+	s := g.statistics.of(d.target.Row.ID())
+	started := g.clock.Now()
+	s.inflight.Add(1)
+	resp, f := run(c, d)
+	if f != nil {
+		s.inflight.Add(-1)
+		g.noteRefusal(c, d, s, f)
+		return nil, f
 	}
-	return g.forward(c, d)
+	resp.Body = &countedBody{ReadCloser: resp.Body, end: func() {
+		s.inflight.Add(-1)
+		s.observe(g.clock.Now(), g.clock.Since(started))
+	}}
+	return resp, nil
+}
+
+// noteRefusal makes later choices avoid a target that takes no requests.
+func (g *Gateway) noteRefusal(c *call, d destination, s *stats, f *failure) {
+	if f.outcome != OutcomeNotRun {
+		return
+	}
+	switch f.slug {
+	case "server-shedding", "server-unreachable", "queue-full", "rate":
+		s.pause(g.clock.Now().Add(min(f.retryAfter, time.Second)))
+		c.avoid = d.target.Row.Target
+		f.again = againElsewhere
+	}
+}
+
+// countedBody calls end once, when the body is complete or given up.
+type countedBody struct {
+	io.ReadCloser
+	once sync.Once
+	end  func()
+}
+
+// Read passes the body on.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.once.Do(b.end)
+	}
+	return n, err
+}
+
+// Close ends the exchange.
+func (b *countedBody) Close() error {
+	b.once.Do(b.end)
+	return b.ReadCloser.Close()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/boragegate/boragegate/idempotency"
 	"github.com/boragegate/boragegate/internal/route"
 )
 
@@ -62,6 +63,8 @@
 	// StallTimeout is the longest time without progress in reading a request
 	// body or writing an answer. Default DefaultStallTimeout.
 	StallTimeout time.Duration
+	// Idempotency holds the limits of the idempotency records of each target.
+	Idempotency idempotency.Config
 }
 
 func (c Config) withDefaults() Config {
@@ -101,6 +104,11 @@
 
 	targets targets
 	budgets budgets
+	tenures tenures
+
+	statistics statistics
+	selector   selector
+	meters     meters
 }
 
 // New returns a gateway.
@@ -108,6 +116,7 @@
 	cfg = cfg.withDefaults()
 	g := &Gateway{cfg: cfg, clock: cfg.Clock}
 	g.targets.gateway = g
+	g.tenures.gateway = g
 	return g
 }
 
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -16,6 +16,7 @@
 	headerTerm        = "Boragegate-Term"
 	headerRequestID   = "Boragegate-Request-Id"
 	headerOutcome     = "Boragegate-Outcome"
+	headerReplayed    = "Boragegate-Replayed"
 	headerRetryAfter  = "Retry-After"
 	headerIdempotency = "Idempotency-Key"
 
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/boragegate/boragegate/idempotency"
 )
 
 // inflight counts the requests of a target that may be running, by partition,
@@ -14,10 +16,22 @@
 
 	mu      sync.Mutex
 	counts  map[int]int
-	stopped map[int]uint64 // epoch up to which a partition admits nothing
+	stopped map[int]*stop
 	waits   []*drainWait
 }
 
+// stop is the last tenure under which a partition admits nothing any more.
+type stop struct {
+	tenure idempotency.Tenure
+	// drained is the time at which nothing was in flight; zero before that.
+	drained time.Time
+}
+
+// ended reports whether the tenure does not come after the stop.
+func (s *stop) ended(t idempotency.Tenure) bool {
+	return t.Term < s.tenure.Term || t.Term == s.tenure.Term && t.Epoch <= s.tenure.Epoch
+}
+
 // drainWait is a StopAdmission that has not been reported as done.
 type drainWait struct {
 	partitions []int
@@ -25,15 +39,15 @@
 }
 
 func newInflight(clock clockwork.Clock) *inflight {
-	return &inflight{clock: clock, counts: make(map[int]int), stopped: make(map[int]uint64)}
+	return &inflight{clock: clock, counts: make(map[int]int), stopped: make(map[int]*stop)}
 }
 
 // begin counts a request, unless its partition is being handed over.
-func (i *inflight) begin(partition int, epoch uint64) bool {
+func (i *inflight) begin(partition int, t idempotency.Tenure) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if last, ok := i.stopped[partition]; ok {
-		if epoch <= last {
+	if last := i.stopped[partition]; last != nil {
+		if last.ended(t) {
 			return false
 		}
 		delete(i.stopped, partition) // owned anew since
@@ -52,6 +66,9 @@
 	i.mu.Lock()
 	if i.counts[partition]--; i.counts[partition] == 0 {
 		delete(i.counts, partition)
+		if last := i.stopped[partition]; last != nil && last.drained.IsZero() {
+			last.drained = i.clock.Now()
+		}
 	}
 	done := i.drained()
 	i.mu.Unlock()
@@ -60,12 +77,12 @@
 	}
 }
 
-// stop admits nothing more at the given epochs, and calls done when no request
-// is in flight for the partitions, possibly before it returns.
-func (i *inflight) stop(partitions []int, epochOf func(int) uint64, done func()) {
+// stop admits nothing more under the tenures, and calls done when no request is
+// in flight for the partitions, possibly before it returns.
+func (i *inflight) stop(partitions []int, tenureOf func(int) idempotency.Tenure, done func()) {
 	i.mu.Lock()
 	for _, p := range partitions {
-		i.stopped[p] = max(i.stopped[p], epochOf(p))
+		i.stopOne(p, tenureOf(p))
 	}
 	i.waits = append(i.waits, &drainWait{partitions, done})
 	ready := i.drained()
@@ -75,6 +92,27 @@
 	}
 }
 
+func (i *inflight) stopOne(p int, t idempotency.Tenure) *stop {
+	last := i.stopped[p]
+	if last == nil || !last.ended(t) {
+		last = &stop{tenure: t}
+		i.stopped[p] = last
+	}
+	if last.drained.IsZero() && i.counts[p] == 0 {
+		last.drained = i.clock.Now()
+	}
+	return last
+}
+
+// handOver ends the tenure of a partition. It reports whether nothing is in
+// flight for it, and how long that has been so.
+func (i *inflight) handOver(p int, t idempotency.Tenure) (time.Duration, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	last := i.stopOne(p, t)
+	return i.clock.Since(last.drained), !last.drained.IsZero() && last.tenure == t
+}
+
 // drained takes out the waits whose partitions have nothing in flight.
 func (i *inflight) drained() (done []func()) {
 	kept := i.waits[:0]
--- a/internal/gateway/local.go
+++ b/internal/gateway/local.go
@@ -3,34 +3,49 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/boragegate/boragegate/admission"
 )
 
-// runHere admits a request to a target that this instance is in front of, and
-// sends it to the server.
+// runHere runs a request at a target that this instance is in front of, unless
+// it must not be repeated and was run before.
 func (g *Gateway) runHere(c *call, d destination) (*http.Response, *failure) {
 	t := g.targets.of(d.target)
-	ticket, err := t.gate.Acquire(c.ctx, admission.Request{Class: c.class, Key: c.routingKey(), Deadline: c.deadline})
+	r := &run{gateway: g, target: t, call: c, partition: d.partition}
+	if c.idem != "" {
+		entry, resp, f := g.beginOnce(c, d, t)
+		if f != nil || resp != nil {
+			return resp, f
+		}
+		r.entry = entry
+	}
+	resp, f := g.admit(c, d, r)
+	if f != nil {
+		r.finish(f.outcome)
+	}
+	return resp, f
+}
+
+// admit waits for a slot and sends the request to the server. The authority is
+// checked after the wait, just before the request is sent.
+func (g *Gateway) admit(c *call, d destination, r *run) (*http.Response, *failure) {
+	ticket, err := r.target.gate.Acquire(c.ctx, admission.Request{Class: c.class, Key: c.routingKey(), Deadline: c.deadline})
 	if err != nil {
 		return nil, admissionFailure(c, err)
 	}
-	run := &run{gateway: g, target: t, call: c, partition: d.partition, ticket: ticket}
-	if !t.inflight.begin(d.partition, d.epoch) {
-		ticket.Release()
+	r.ticket = ticket
+	if !r.target.inflight.begin(d.partition, d.tenure()) {
 		return nil, notOwner("the partition is being handed over")
 	}
-	if !g.mayRun(c, d) {
-		run.finish(false)
+	r.begun = true
+	if !g.mayRun(c, d) || r.entry != nil && !r.entry.Run() {
 		return nil, notOwner("this instance or the target does not own the partition at the moment")
 	}
-	return g.callServer(c, d, t, run)
+	return g.callServer(c, d, r)
 }
 
 // mayRun checks this instance's authority at the moment of the request.
@@ -56,30 +71,31 @@
 	return f
 }
 
-func (g *Gateway) callServer(c *call, d destination, t *target, run *run) (*http.Response, *failure) {
+func (g *Gateway) callServer(c *call, d destination, r *run) (*http.Response, *failure) {
 	h := endToEnd(c.in.Header)
 	if c.service.Divided {
 		setIfAny(h, headerKey, c.key)
 	}
 	g.setInternal(h, c, d)
 	u := &url.URL{Scheme: "http", Host: d.target.Row.Address}
-	resp, f := g.exchange(c, t.pool(), u, c.path, h)
+	resp, f := g.exchange(c, r.target.pool(), u, c.path, h)
 	if f != nil {
-		run.finish(f.outcome == OutcomeUnknown)
 		if f.outcome == OutcomeUnknown && c.safe {
 			f.again = againLater
 		}
 		return nil, f
 	}
-	if f := refusalOf(resp, t); f != nil {
+	if f := refusalOf(resp, r.target); f != nil {
 		drainAndClose(resp.Body)
-		run.finish(false)
 		return nil, f
 	}
 	if hasOwnHeaders(resp.Header) {
 		resp.Header = endToEnd(resp.Header)
 	}
-	resp.Body = &runBody{ReadCloser: resp.Body, run: run}
+	if r.entry != nil {
+		r.recorder = newRecorder(r.entry, resp)
+	}
+	resp.Body = &runBody{ReadCloser: resp.Body, run: r}
 	return resp, nil
 }
 
@@ -101,52 +117,3 @@
 	}
 	return notRun(resp.StatusCode, "server-refused", "the server ran nothing")
 }
-
-// run is a request that occupies a slot.
-type run struct {
-	gateway   *Gateway
-	target    *target
-	call      *call
-	partition int
-	ticket    *admission.Ticket
-	once      sync.Once
-}
-
-// finish frees the slot. A request that was cut off may still run at a server
-// that does not check grants, so it counts as in flight until the service's
-// longest request time has passed.
-func (r *run) finish(cutOff bool) {
-	r.once.Do(func() {
-		var linger time.Duration
-		if cutOff && !r.call.service.ChecksGrants {
-			linger = time.Duration(r.call.service.MaxRequestTime)
-			if linger <= 0 {
-				linger = DefaultMaxRequestTime
-			}
-		}
-		held := r.ticket.Held()
-		r.ticket.Release()
-		r.target.inflight.end(r.partition, linger)
-		r.gateway.noteRun(r, held)
-	})
-}
-
-// runBody frees the slot when the answer is complete or given up.
-type runBody struct {
-	io.ReadCloser
-	run *run
-}
-
-func (b *runBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.run.finish(!errors.Is(err, io.EOF))
-	}
-	return n, err
-}
-
-func (b *runBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.run.finish(true) // has no effect after the end of the body
-	return err
-}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,19 +2,48 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
 
-func retriesCounter(r metrics.Registry, service string) metrics.Counter {
-	return metrics.GetOrRegisterCounter("gateway.retries."+service, r)
+// Constants of the latency sample.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015 // weights the last five minutes
+)
+
+// serviceMetrics are the metrics of one service.
+type serviceMetrics struct {
+	answered metrics.Counter
+	retries  metrics.Counter
+	latency  metrics.Histogram // microseconds until the answer's header
+}
+
+// meters holds the metrics of each service, so that requests need not look them
+// up by names that have to be put together.
+type meters struct{ m sync.Map }
+
+func (m *meters) of(service string, r metrics.Registry) *serviceMetrics {
+	if v, ok := m.m.Load(service); ok {
+		return v.(*serviceMetrics)
+	}
+	fresh := &serviceMetrics{
+		answered: metrics.GetOrRegisterCounter("gateway.requests.answered."+service, r),
+		retries:  metrics.GetOrRegisterCounter("gateway.retries."+service, r),
+		latency: metrics.GetOrRegisterHistogram("gateway.latency_us."+service, r,
+			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+	v, _ := m.m.LoadOrStore(service, fresh)
+	return v.(*serviceMetrics)
 }
 
 // noteAnswer counts a request that got a server's answer.
 func (g *Gateway) noteAnswer(service string, started time.Time) {
-	metrics.GetOrRegisterCounter("gateway.requests.run."+service, g.cfg.Metrics).Inc(1)
-	metrics.GetOrRegisterTimer("gateway.latency."+service, g.cfg.Metrics).Update(g.clock.Since(started))
+	m := g.meters.of(service, g.cfg.Metrics)
+	m.answered.Inc(1)
+	m.latency.Update(g.clock.Since(started).Microseconds())
 }
 
 // noteFailure counts and logs a request that the gateway answered itself.
@@ -24,3 +53,14 @@
 		Str("problem", f.slug).Str("outcome", string(f.outcome)).Int("status", f.status).
 		Dur("after", g.clock.Since(started)).Str("detail", f.detail).Send()
 }
+
+// registerGauges shows the load of a target that this instance is in front of.
+func (t *target) registerGauges(r metrics.Registry) {
+	for name, value := range map[string]func() int64{
+		"gateway.slots_used.":          func() int64 { return int64(t.gate.Load().Running) },
+		"gateway.queued.":              func() int64 { return int64(t.gate.Load().Queued) },
+		"gateway.idempotency_records.": func() int64 { return int64(t.log.Len()) },
+	} {
+		_ = r.Register(name+t.id, metrics.NewFunctionalGauge(value)) // a gauge of that name stays
+	}
+}
--- /dev/null
+++ b/internal/gateway/once.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragegate/boragegate/idempotency"
+)
+
+// fingerprint tells requests with the same idempotency key apart.
+func (c *call) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{c.in.Method, c.path, c.in.URL.RawQuery, c.key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString("\x00")
+	}
+	if c.body != nil {
+		_, _ = d.Write(c.body.prefix)
+	}
+	return d.Sum64()
+}
+
+// beginOnce notes a request that must not be repeated. It returns an entry if
+// the request may run, or the answer that it got before.
+func (g *Gateway) beginOnce(c *call, d destination, t *target) (*idempotency.Attempt, *http.Response, *failure) {
+	tenure := d.tenure()
+	if !g.tenures.answers(t.id, d.partition, tenure) {
+		return nil, nil, notOwner("the idempotency records of the partition are being taken over")
+	}
+	entry, answer, err := t.log.Begin(d.partition, tenure, c.idem, c.fingerprint())
+	switch {
+	case err != nil:
+		return nil, nil, onceFailure(err)
+	case answer != nil:
+		return nil, replay(answer), nil
+	}
+	return entry, nil, nil
+}
+
+func (d destination) tenure() idempotency.Tenure {
+	return idempotency.Tenure{Term: d.target.Term, Epoch: d.epoch}
+}
+
+// onceFailures has the answer for each reason not to run a request.
+var onceFailures = []struct {
+	err     error
+	status  int
+	slug    string
+	outcome Outcome
+	after   time.Duration
+}{
+	{idempotency.ErrMalformed, http.StatusBadRequest, "malformed", OutcomeNotRun, 0},
+	{idempotency.ErrAhead, http.StatusBadRequest, "key-ahead", OutcomeNotRun, 0},
+	{idempotency.ErrTooOld, http.StatusConflict, "key-too-old", OutcomeUnknown, 0},
+	{idempotency.ErrConflict, http.StatusConflict, "key-conflict", OutcomeNotRun, 0},
+	{idempotency.ErrInProgress, http.StatusConflict, "in-progress", OutcomeUnknown, time.Second},
+	{idempotency.ErrAlreadyRun, http.StatusConflict, "already-run", OutcomeRun, 0},
+	{idempotency.ErrUnknown, http.StatusConflict, "outcome-unknown", OutcomeUnknown, 0},
+	{idempotency.ErrFull, http.StatusServiceUnavailable, "records-full", OutcomeNotRun, time.Second},
+}
+
+func onceFailure(err error) *failure {
+	for _, f := range onceFailures {
+		if errors.Is(err, f.err) {
+			return &failure{
+				status: f.status, slug: f.slug, detail: err.Error(),
+				outcome: f.outcome, again: againNever, retryAfter: f.after,
+			}
+		}
+	}
+	panic(err) // Begin returns no other errors
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -32,6 +32,8 @@
 	againRouted again = "routed"
 	// againLater marks a failure that may pass, and that counts against the retry budget.
 	againLater again = "later"
+	// againElsewhere marks a refusal by one of several targets that can serve the request.
+	againElsewhere again = "elsewhere"
 )
 
 // statusClientClosed is the status under which requests are counted whose caller has gone.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -34,7 +34,8 @@
 	class    admission.Class
 	deadline time.Time
 	body     *body
-	safe     bool // a repeated run has no effect
+	safe     bool   // a repeated run has no effect
+	avoid    string // target that has refused the request
 }
 
 // newCall reads what routing and admission need from a request. The returned
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -20,7 +20,10 @@
 // owner returns the target that owns the key's partition. The target is nil if
 // there is none. It does not allocate.
 func owner(s *route.Service, key string) destination {
-	p := placement.PartitionOf(s.Name, key, s.Partitions)
+	return ownerOf(s, placement.PartitionOf(s.Name, key, s.Partitions))
+}
+
+func ownerOf(s *route.Service, p int) destination {
 	d := destination{partition: p}
 	a := s.Assignment
 	if a == nil || p >= len(a.Owner) {
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/boragegate/boragegate/admission"
+	"github.com/boragegate/boragegate/idempotency"
 	"github.com/boragegate/boragegate/internal/route"
 	"github.com/boragegate/boragegate/retry"
 	"github.com/boragegate/boragegate/table"
@@ -12,13 +13,15 @@
 
 // target is the state of a target that this instance is in front of.
 type target struct {
-	id        string
-	gate      *admission.Gate
-	inflight  *inflight
-	transport *http.Transport
+	id       string
+	gate     *admission.Gate
+	inflight *inflight
+	log      *idempotency.Log
+	usage    usage
 
-	mu  sync.Mutex
-	row table.Row
+	mu        sync.Mutex
+	transport *http.Transport
+	row       table.Row
 }
 
 // targets holds the state of all targets that this instance was in front of.
@@ -31,7 +34,11 @@
 	id := r.Row.ID()
 	v, ok := t.m.Load(id)
 	if !ok {
-		v, _ = t.m.LoadOrStore(id, t.newTarget(id, r.Row))
+		var loaded bool
+		v, loaded = t.m.LoadOrStore(id, t.newTarget(id, r.Row))
+		if !loaded {
+			v.(*target).registerGauges(t.gateway.cfg.Metrics)
+		}
 	}
 	found := v.(*target)
 	found.update(r.Row)
@@ -43,7 +50,9 @@
 		id: id, row: row,
 		gate:      admission.NewGate(limitsOf(row), t.gateway.clock),
 		inflight:  newInflight(t.gateway.clock),
+		log:       idempotency.NewLog(t.gateway.cfg.Idempotency, t.gateway.clock),
 		transport: NewTransport(nil, row.Connections),
+		usage:     usage{since: t.gateway.clock.Now()},
 	}
 }
 
@@ -86,37 +95,3 @@
 	v, _ := b.m.LoadOrStore(service, retry.NewBudget(retry.DefaultShare, retry.DefaultBurst))
 	return v.(*retry.Budget)
 }
-
-// StopAdmission admits no more requests for the partitions of a target
-// ("service/target") until they are owned anew at a higher epoch, and calls done
-// once no request is in flight for them. Requests that arrive meanwhile wait at
-// the instance that their callers are connected to. The term is that of the
-// release order; this instance admits nothing under an older one in any case.
-func (g *Gateway) StopAdmission(id string, _ uint64, partitions []int, done func()) {
-	r, service := g.findTarget(id)
-	if r == nil {
-		if v, ok := g.targets.m.Load(id); ok {
-			v.(*target).inflight.stop(partitions, func(int) uint64 { return 0 }, done)
-			return
-		}
-		done()
-		return
-	}
-	g.targets.of(r).inflight.stop(partitions, func(p int) uint64 {
-		if a := service.Assignment; a != nil && p < len(a.Epoch) {
-			return a.Epoch[p]
-		}
-		return 0
-	}, done)
-}
-
-func (g *Gateway) findTarget(id string) (*route.Target, *route.Service) {
-	for _, s := range g.cfg.Routes.Load().Services {
-		for _, t := range s.Targets {
-			if t.Row.ID() == id {
-				return t, s
-			}
-		}
-	}
-	return nil, nil
-}
--- /dev/null
+++ b/internal/gateway/tenures.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/boragegate/boragegate/idempotency"
+	"github.com/boragegate/boragegate/internal/route"
+)
+
+// Times of taking over idempotency records. A tenure that could not take over
+// records runs nothing for importWait. An instance hands over records only
+// within exportWindow after it has run its last request. So between a hand-over
+// of records and the end of the earlier tenure no third instance can have run
+// requests that the records do not contain, even if nobody noticed its tenure.
+const (
+	importWait   = 500 * time.Millisecond
+	exportWindow = 300 * time.Millisecond
+	tenurePoll   = 20 * time.Millisecond
+)
+
+// place names a partition at a target.
+type place struct {
+	target    string
+	partition int
+}
+
+// tenureState is what is known of a partition that this instance is in front of.
+type tenureState struct {
+	tenure   idempotency.Tenure
+	observed time.Time
+	// start is the time since which no other instance can have run requests.
+	start    time.Time
+	previous *previous // nil if there are no records to take over
+	ready    bool      // the log can judge requests
+}
+
+// previous is where the records of a partition were before.
+type previous struct {
+	target *route.Target
+	tenure idempotency.Tenure
+}
+
+// tenures follows which partitions this instance answers for. The goroutine of
+// Run makes all changes; requests read under the mutex.
+type tenures struct {
+	gateway *Gateway
+	last    *route.Snapshot // used by Run only
+
+	mu     sync.Mutex
+	states map[place]*tenureState
+}
+
+// answers reports whether requests that must not be repeated can be judged
+// under the tenure.
+func (t *tenures) answers(target string, partition int, tenure idempotency.Tenure) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[place{target, partition}]
+	return s != nil && s.tenure == tenure && s.ready
+}
+
+// Run follows the route snapshots until the context ends. Without it, requests
+// that must not be repeated are refused.
+func (g *Gateway) Run(ctx context.Context) error {
+	for {
+		snapshot, changed := g.cfg.Routes.Watch()
+		g.tenures.adopt(snapshot)
+		open := g.tenures.advance(ctx)
+		var poll <-chan time.Time
+		if open {
+			poll = g.clock.After(tenurePoll)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-poll:
+		}
+	}
+}
+
+// adopt starts the tenures of a new snapshot and drops those that have ended.
+func (t *tenures) adopt(snapshot *route.Snapshot) {
+	if snapshot == t.last {
+		return
+	}
+	next := make(map[place]*tenureState)
+	for name, s := range snapshot.Services {
+		if len(s.NotRepeatable) == 0 || s.Assignment == nil {
+			continue
+		}
+		var before *route.Service
+		if t.last != nil {
+			before = t.last.Services[name]
+		}
+		for p := range s.Assignment.Owner {
+			t.adoptPartition(next, s, before, p)
+		}
+	}
+	t.last = snapshot
+	t.mu.Lock()
+	t.states = next
+	t.mu.Unlock()
+}
+
+func (t *tenures) adoptPartition(next map[place]*tenureState, s, before *route.Service, p int) {
+	d := ownerOf(s, p)
+	if d.target == nil || !d.target.Local {
+		return
+	}
+	at := place{d.target.Row.ID(), p}
+	if old := t.states[at]; old != nil && old.tenure == d.tenure() {
+		next[at] = old
+		return
+	}
+	now := t.gateway.clock.Now()
+	state := &tenureState{tenure: d.tenure(), observed: now, start: now}
+	if before != nil {
+		if was := ownerOf(before, p); was.target != nil {
+			state.previous = &previous{was.target, was.tenure()}
+		}
+	}
+	t.gateway.targets.of(d.target)
+	next[at] = state
+}
+
+// advance takes over records and looks for the authority to run. It reports
+// whether there is more to do later.
+func (t *tenures) advance(ctx context.Context) bool {
+	open := false
+	imports := make(map[place]*tenureState)
+	for at, s := range t.states {
+		if s.ready {
+			continue
+		}
+		open = true
+		now := t.gateway.clock.Now()
+		mayRun := t.gateway.cfg.Authority.MayRun(at.target, s.tenure.Term, at.partition, s.tenure.Epoch)
+		if !mayRun {
+			s.start = now // another instance may still run requests
+		}
+		switch waited := now.Sub(s.observed) >= importWait; {
+		case !waited && s.previous != nil:
+			imports[at] = s
+		case waited && mayRun:
+			t.settle(at, s, func(l *idempotency.Log) { l.Start(at.partition, s.tenure, s.start) })
+		}
+	}
+	t.importAll(ctx, imports)
+	return open
+}
+
+// settle lets the log of a partition be used once it is filled.
+func (t *tenures) settle(at place, s *tenureState, fill func(*idempotency.Log)) {
+	v, ok := t.gateway.targets.m.Load(at.target)
+	if !ok {
+		return
+	}
+	fill(v.(*target).log)
+	t.mu.Lock()
+	s.ready = true
+	t.mu.Unlock()
+}
--- /dev/null
+++ b/internal/gateway/transfer.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/boragegate/boragegate/idempotency"
+)
+
+const (
+	// recordsPath is the path at the forward listener from which the next
+	// controller of partitions takes their records. No service can have its name.
+	recordsPath = "/-/records"
+	// maxRecords bounds a message with records, in bytes.
+	maxRecords = 64 << 20
+)
+
+// recordsRequest asks for the records of partitions.
+type recordsRequest struct {
+	Target     string            `msgpack:"t"`
+	Partitions []recordsOfTenure `msgpack:"p"`
+}
+
+// recordsOfTenure names the tenure whose records are wanted.
+type recordsOfTenure struct {
+	Partition int    `msgpack:"p"`
+	Term      uint64 `msgpack:"n"`
+	Epoch     uint64 `msgpack:"e"`
+}
+
+// recordsReply has the records of the partitions that can be handed over now.
+type recordsReply struct {
+	Exports map[int]idempotency.Export `msgpack:"x"`
+}
+
+// source is a target at the instance that was in front of it.
+type source struct {
+	local   bool
+	address string
+	target  string
+}
+
+// importAll takes over the records of partitions, with one request per source.
+func (t *tenures) importAll(ctx context.Context, states map[place]*tenureState) {
+	wanted := make(map[source][]place)
+	for at, s := range states {
+		from := source{s.previous.target.Local, s.previous.target.ForwardAddress, s.previous.target.Row.ID()}
+		wanted[from] = append(wanted[from], at)
+	}
+	for from, places := range wanted {
+		req := recordsRequest{Target: from.target}
+		for _, at := range places {
+			was := states[at].previous.tenure
+			req.Partitions = append(req.Partitions, recordsOfTenure{at.partition, was.Term, was.Epoch})
+		}
+		reply, err := t.fetch(ctx, from, req)
+		if err != nil {
+			t.gateway.cfg.Logger.Debug().Str("event", "records.not-taken-over").Str("target", from.target).Err(err).Send()
+			continue
+		}
+		for _, at := range places {
+			if x, ok := reply.Exports[at.partition]; ok {
+				s := states[at]
+				t.settle(at, s, func(l *idempotency.Log) { l.Import(at.partition, s.tenure, x) })
+			}
+		}
+	}
+}
+
+func (t *tenures) fetch(ctx context.Context, from source, req recordsRequest) (recordsReply, error) {
+	g := t.gateway
+	if from.local {
+		return g.exportRecords(req), nil
+	}
+	body, err := msgpack.Marshal(req)
+	if err != nil {
+		return recordsReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, importWait/2)
+	defer cancel()
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, g.cfg.ForwardScheme+"://"+from.address+recordsPath, bytes.NewReader(body))
+	if err != nil {
+		return recordsReply{}, err
+	}
+	hr.GetBody = nil // an export is given once; it must not be asked for again unnoticed
+	resp, err := g.cfg.ForwardTransport.RoundTrip(hr)
+	if err != nil {
+		return recordsReply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var reply recordsReply
+	return reply, msgpack.NewDecoder(io.LimitReader(resp.Body, maxRecords)).Decode(&reply)
+}
+
+// serveRecords hands over records to the next controller of partitions.
+func (g *Gateway) serveRecords(w http.ResponseWriter, r *http.Request) {
+	var req recordsRequest
+	if err := msgpack.NewDecoder(io.LimitReader(r.Body, maxRecords)).Decode(&req); err != nil {
+		notRun(http.StatusBadRequest, "malformed", "not a request for records").write(w, "")
+		return
+	}
+	body, err := msgpack.Marshal(g.exportRecords(req))
+	if err != nil {
+		unavailable("internal", err.Error()).write(w, "")
+		return
+	}
+	w.Header().Set("Content-Type", "application/vnd.msgpack")
+	_, _ = w.Write(body)
+}
+
+// exportRecords ends the tenures and returns the records of those that have
+// nothing in flight since a short time.
+func (g *Gateway) exportRecords(req recordsRequest) recordsReply {
+	reply := recordsReply{Exports: make(map[int]idempotency.Export)}
+	v, ok := g.targets.m.Load(req.Target)
+	if !ok {
+		return reply
+	}
+	t := v.(*target)
+	for _, p := range req.Partitions {
+		tenure := idempotency.Tenure{Term: p.Term, Epoch: p.Epoch}
+		idle, drained := t.inflight.handOver(p.Partition, tenure)
+		if !drained || idle > exportWindow {
+			continue
+		}
+		if x, ok := t.log.Export(p.Partition, tenure); ok {
+			reply.Exports[p.Partition] = x
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,45 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+var _ = Describe("retry", func() {
+	It("keeps retries within the share and the burst", func() {
+		// Guards against retries that multiply the load of a failing service.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			b := NewBudget(DefaultShare, DefaultBurst)
+			requests, retries := 0, 0
+			for _, first := range rapid.SliceOfN(rapid.Bool(), 1, 500).Draw(t, "requests") {
+				if first {
+					b.Request()
+					requests++
+				} else if b.Take() {
+					retries++
+				}
+			}
+			if float64(retries) > DefaultShare*float64(requests)+DefaultBurst+1e-6 {
+				t.Fatalf("%d retries of %d requests", retries, requests)
+			}
+		})
+	})
+
+	It("waits between half and all of the bound", func() {
+		// Guards against retries at once and against overflow at high attempts.
+		b := Backoff{Base: 4 * time.Millisecond, Max: 50 * time.Millisecond}
+		for attempt, longest := range map[int]time.Duration{0: 4, 1: 8, 3: 32, 4: 50, 1000: 50} {
+			Expect(b.Wait(attempt)).To(And(
+				BeNumerically(">=", longest*time.Millisecond/2), BeNumerically("<=", longest*time.Millisecond)))
+		}
+	})
+})
