--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,17 @@
 	return slices.Clone(e.list)
 }
 
+// byService selects the effects at targets whose name begins with the prefix.
+func byService(prefix string, list []server.Effect) []server.Effect {
+	var selected []server.Effect
+	for _, f := range list {
+		if strings.HasPrefix(f.Target, prefix) {
+			selected = append(selected, f)
+		}
+	}
+	return selected
+}
+
 // checkOwners reports keys of a service that two servers ran at the same epoch,
 // or that an older epoch ran after a newer one had begun.
 func checkOwners(list []server.Effect) []string {
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,143 @@
+// Package demo runs a whole system in one process: an embedded store, three
+// instances and two services of sample servers on loopback.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/boragegate/boragegate/table"
+)
+
+// steps is the number of steps in a bounded run, each of equal length.
+const steps = 5
+
+const (
+	// lossLimit is the time within which a key is served again after a loss.
+	lossLimit = time.Second
+	// inForceLimit is the time within which a table change is in force everywhere.
+	inForceLimit = 7 * time.Second
+	// minStep lets a drain (3 s by default) finish within its step at the default duration.
+	minStep = 500 * time.Millisecond
+)
+
+// ErrPromiseBroken means that the demo saw a promise broken.
+var ErrPromiseBroken = eris.New("a promise was broken")
+
+// Options set up a demo.
+type Options struct {
+	// Duration bounds the demo; 0 runs until the context ends, without load.
+	Duration time.Duration
+	// Out receives the report.
+	Out io.Writer
+	// Logger receives the log of the instances.
+	Logger zerolog.Logger
+}
+
+// Command returns the command "demo".
+func Command() *cobra.Command {
+	var o Options
+	var verbose bool
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole system in one process on loopback",
+		Long: "Runs an embedded store, three instances and two services of sample servers on loopback.\n" +
+			"With --duration it sends a light load, edits the table, drains one server and stops another\n" +
+			"without notice, prints what callers saw, and exits with status 1 if a promise was broken.",
+		Example: "  boragegated demo\n  boragegated demo --duration 15s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			o.Out, o.Logger = cmd.OutOrStdout(), zerolog.Nop()
+			if verbose {
+				o.Logger = zerolog.New(cmd.ErrOrStderr()).With().Timestamp().Logger()
+			}
+			return Run(cmd.Context(), o)
+		},
+	}
+	cmd.Flags().DurationVar(&o.Duration, "duration", 0, "length of a bounded run with load and failures; at least 2.5s (0: run until interrupted)")
+	cmd.Flags().BoolVar(&verbose, "verbose", false, "print the log of the instances")
+	return cmd
+}
+
+// Run runs the demo. It returns ErrPromiseBroken if a check failed.
+func Run(ctx context.Context, o Options) error {
+	c, err := startCluster(ctx, o.Logger)
+	defer c.stop()
+	if err != nil {
+		return err
+	}
+	address := c.callerAddresses()[0]
+	fmt.Fprintf(o.Out, "callers are served on %s\n", address)
+	fmt.Fprintf(o.Out, "try: curl -s -H 'Boragegate-Key: k1' http://%s/route/items/k1\n", address)
+	if o.Duration == 0 {
+		<-ctx.Done()
+		return nil
+	}
+	return bounded(ctx, c, o)
+}
+
+func bounded(ctx context.Context, c *cluster, o Options) error {
+	r := &run{cluster: c, clients: newClients(c.callerAddresses()), out: o.Out, step: max(o.Duration/steps, minStep)}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		r.clients.run(loadCtx)
+	}()
+	err := r.steps(ctx)
+	stopLoad()
+	<-loaded
+	if err != nil {
+		return err
+	}
+	return r.verdict()
+}
+
+// steps carries out the steps of a bounded run.
+func (r *run) steps(ctx context.Context) error {
+	var drainedAt time.Time
+	list := []struct {
+		name   string
+		action func() error
+	}{
+		{"steady load", nil},
+		{"weight of route/r1 doubled", func() error {
+			return r.edit(ctx, func(t *table.Table) { row(t, "route", "r1").Weight = 2 })
+		}},
+		{"route/r2 drained", func() error {
+			err := r.edit(ctx, func(t *table.Table) { row(t, "route", "r2").Drain = true })
+			drainedAt = time.Now()
+			return err
+		}},
+		{"route/r3 stopped without notice", func() error {
+			r.cluster.servers["route/r3"].Kill()
+			r.loss = true
+			return nil
+		}},
+		{"steady load", nil},
+	}
+	for _, s := range list {
+		if err := r.do(ctx, s.name, s.action); err != nil {
+			return err
+		}
+	}
+	service, _ := r.cluster.table.Service("route")
+	r.broken = append(r.broken, checkDrained("r2", drainedAt.Add(time.Duration(service.DrainAfter)), r.cluster.effects.snapshot())...)
+	return nil
+}
+
+func row(t *table.Table, service, target string) *table.Row {
+	for i := range t.Rows {
+		if t.Rows[i].Service == service && t.Rows[i].Target == target {
+			return &t.Rows[i]
+		}
+	}
+	return nil
+}
