Add control messages between instances

Cause: heartbeats, orders and reports need a transport that never blocks the control loop and that hostile or broken peers cannot harm. Change: internal/peer sends frames with msgpack bodies over one outgoing connection per peer with jittered reconnects, bounded queues in two priorities and a byte budget for low priority; internal/mtls authenticates both sides and reloads replaced key files. Bodies are checked for nesting, size and range before they are used. Linux ends connections after 2 s without an acknowledgement, so that a healed partition does not deliver old heartbeats.

--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/boragegate/boragegate/ownership"
+)
+
+// priority decides which queue a message uses.
+type priority int
+
+const (
+	// urgent messages are sent first and without a byte budget.
+	urgent priority = iota
+	// low messages wait for urgent ones and for the byte budget.
+	low
+)
+
+// messageType describes one type of message on the wire.
+type messageType struct {
+	sample   ownership.Message
+	priority priority
+	// latest says that a newer message to the same peer replaces a queued one.
+	latest bool
+	decode func([]byte) (ownership.Message, error)
+}
+
+// kindHello is the type of the hello exchange.
+const kindHello byte = 0
+
+// messageTypes has the type byte of each message. Numbers are part of the
+// protocol and are never reused.
+var messageTypes = map[byte]messageType{
+	1:  entry[ownership.Heartbeat](urgent, true),
+	2:  entry[ownership.HeartbeatAck](urgent, true),
+	3:  entry[ownership.JoinRequest](low, true),
+	4:  entry[ownership.LeaveRequest](low, true),
+	5:  entry[ownership.CellUpdate](urgent, false),
+	6:  entry[ownership.AssignmentUpdate](urgent, false),
+	7:  entry[ownership.AssignmentRequest](low, false),
+	8:  entry[ownership.ReleaseOrder](urgent, false),
+	9:  entry[ownership.TargetReport](urgent, false),
+	10: entry[ownership.LoadUpdate](low, true),
+}
+
+// kinds is messageTypes by the type of the message.
+var kinds = func() map[reflect.Type]byte {
+	m := map[reflect.Type]byte{}
+	for k, t := range messageTypes {
+		m[reflect.TypeOf(t.sample)] = k
+	}
+	return m
+}()
+
+func entry[M ownership.Message](p priority, latest bool) messageType {
+	var sample M
+	return messageType{sample, p, latest, func(b []byte) (ownership.Message, error) {
+		var m M
+		err := unmarshal(b, &m)
+		return m, err
+	}}
+}
+
+// encode returns the frame of a message and its type.
+func encode(msg ownership.Message) ([]byte, byte, error) {
+	kind, ok := kinds[reflect.TypeOf(msg)]
+	if !ok {
+		return nil, 0, fmt.Errorf("%w %T", ErrUnknownType, msg)
+	}
+	body, err := marshal(msg)
+	if err != nil {
+		return nil, 0, err
+	}
+	b, err := appendFrame(nil, frame{kind, body})
+	return b, kind, err
+}
+
+// decode returns the message of a frame, with its content checked.
+func decode(f frame) (ownership.Message, error) {
+	t, ok := messageTypes[f.kind]
+	if !ok {
+		return nil, fmt.Errorf("%w %d", ErrUnknownType, f.kind)
+	}
+	msg, err := t.decode(f.body)
+	if err != nil {
+		return nil, err
+	}
+	if err := check(msg); err != nil {
+		return nil, err
+	}
+	return msg, nil
+}
+
+func marshal(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	// Integers in their shortest form: a heartbeat stays near 30 bytes.
+	e.UseCompactInts(true)
+	if err := e.Encode(v); err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return b.Bytes(), nil
+}
+
+func unmarshal(b []byte, v any) error {
+	if err := inspect(b); err != nil {
+		return err
+	}
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,152 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/lease"
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/placement"
+)
+
+// heartbeatTarget is the size of a heartbeat that section 3.1 of the design page calculates with.
+const heartbeatTarget = 50
+
+func body(v any) []byte {
+	GinkgoHelper()
+	b, err := marshal(v)
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+// generators draw any value of each message type, out-of-range content included.
+var generators = map[byte]func(*rapid.T) ownership.Message{
+	1: drawn[ownership.Heartbeat], 2: drawn[ownership.HeartbeatAck], 3: drawn[ownership.JoinRequest],
+	4: drawn[ownership.LeaveRequest], 5: drawn[ownership.CellUpdate], 6: drawn[ownership.AssignmentUpdate],
+	7: drawn[ownership.AssignmentRequest], 8: drawn[ownership.ReleaseOrder], 9: drawn[ownership.TargetReport],
+	10: drawn[ownership.LoadUpdate],
+}
+
+func drawn[M ownership.Message](t *rapid.T) ownership.Message {
+	return rapid.Make[M]().Draw(t, "message")
+}
+
+var _ = Describe("codec", func() {
+	It("has a generator for each message type, so that no type goes untested", func() {
+		Expect(generators).To(HaveLen(len(messageTypes)))
+	})
+
+	It("returns every message as it was sent", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			kind := rapid.SampledFrom(reflect.ValueOf(messageTypes).MapKeys()).Draw(t, "kind").Interface().(byte)
+			msg := generators[kind](t)
+			frame, got, err := encode(msg)
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			NewWithT(t).Expect(got).To(Equal(kind))
+			f, err := readFrame(bytes.NewReader(frame), MaxFrameBytes)
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			again, err := messageTypes[kind].decode(f.body)
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			// Compared in encoded form, where nil and empty lists are alike only if they were.
+			NewWithT(t).Expect(body(again)).To(Equal(body(msg)))
+		})
+	})
+
+	It("keeps heartbeats and acks within the size that the byte budget assumes", func() {
+		stamp := lease.Stamp(30 * 24 * time.Hour)
+		for _, m := range []ownership.Message{
+			ownership.Heartbeat{Stamp: stamp, CellVersion: 3<<32 | 900},
+			ownership.HeartbeatAck{Stamp: stamp, CellVersion: 3<<32 | 900},
+		} {
+			frame, _, err := encode(m)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(frame)).To(BeNumerically("<=", heartbeatTarget))
+			GinkgoWriter.Printf("%T: %d bytes\n", m, len(frame))
+		}
+	})
+
+	It("carries an assignment of the target size in one frame", func() {
+		a := placement.NewAssignment("route", maxPartitions)
+		for i := range a.Epoch {
+			a.Targets = []string{"r1"}
+			a.Owner[i], a.Epoch[i] = 0, 1<<53
+		}
+		frame, _, err := encode(ownership.AssignmentUpdate{Full: a})
+		Expect(err).NotTo(HaveOccurred())
+		f, err := readFrame(bytes.NewReader(frame), MaxFrameBytes)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decode(f)).To(Equal(ownership.AssignmentUpdate{Full: a}))
+	})
+
+	DescribeTable("refuses content that would crash the receiver or change its state wrongly",
+		func(msg ownership.Message) {
+			_, err := decode(frame{kinds[reflect.TypeOf(msg)], body(msg)})
+			Expect(err).To(MatchError(ErrMalformed))
+		},
+		Entry("no cell", ownership.CellUpdate{}),
+		Entry("two members of one ID", ownership.CellUpdate{Cell: &ownership.Cell{Members: []ownership.Member{{ID: "a"}, {ID: "a"}}}}),
+		Entry("owner without a target", ownership.AssignmentUpdate{Full: &placement.Assignment{Owner: []uint16{1}, Epoch: []uint64{1}, Targets: []string{"t"}}}),
+		Entry("owner without an epoch", ownership.AssignmentUpdate{Full: &placement.Assignment{Owner: []uint16{placement.NoOwner}}}),
+		Entry("delta outside the partitions", ownership.AssignmentUpdate{Delta: placement.Delta{Changes: []placement.Change{{Partition: maxPartitions}}}}),
+		Entry("negative partition", ownership.ReleaseOrder{Partitions: []int{-1}}),
+		Entry("unknown target state", ownership.TargetReport{State: "gone"}),
+		Entry("load that is not a number", ownership.LoadUpdate{Reports: []ownership.LoadReport{{Partitions: []ownership.PartitionLoad{{Load: math.NaN()}}}}}),
+		Entry("endless load of a key", ownership.LoadUpdate{Reports: []ownership.LoadReport{{HotKeys: []ownership.KeyLoad{{Load: math.Inf(1)}}}}}),
+		Entry("join without an ID", ownership.JoinRequest{}),
+	)
+
+	DescribeTable("refuses malformed bodies before they are decoded",
+		func(b []byte) {
+			_, err := decode(frame{1, b})
+			Expect(err).To(MatchError(ErrMalformed))
+		},
+		Entry("empty", []byte{}),
+		Entry("trailing bytes", []byte{0x80, 0x00}),
+		Entry("another shape", []byte{0xa1, 'x'}),
+		Entry("unused code", []byte{0xc1}),
+		Entry("extension", []byte{0xd4, 0x01, 0x00}),
+		Entry("array of 4 billion", []byte{0xdd, 0xff, 0xff, 0xff, 0xff}),
+		Entry("string of 4 billion", []byte{0xdb, 0xff, 0xff, 0xff, 0xff, 'x'}),
+		Entry("length cut off", []byte{0xde, 0x01}),
+		Entry("a million nested arrays in an unknown field", append([]byte{0x81, 0xa1, 'z'}, bytes.Repeat([]byte{0x91}, 1<<20-10)...)),
+		Entry("a million values in an unknown field", append([]byte{0x81, 0xa1, 'z', 0xdd, 0x00, 0x0f, 0x00, 0x00}, make([]byte, 0xf0000)...)),
+	)
+})
+
+// FuzzFrames guards against input that crashes the decoder, is accepted without
+// being well-formed, or is refused without a typed error.
+func FuzzFrames(f *testing.F) {
+	f.Fuzz(func(t *testing.T, input []byte) {
+		r := bytes.NewReader(input)
+		for r.Len() > 0 {
+			in, err := readFrame(r, MaxFrameBytes)
+			if err != nil {
+				return
+			}
+			msg, err := decode(in)
+			if err != nil {
+				if reason(err) == otherReason {
+					t.Fatalf("untyped error %v", err)
+				}
+				continue
+			}
+			frame, _, err := encode(msg)
+			if err != nil && !errors.Is(err, ErrFrameSize) {
+				t.Fatalf("accepted %T cannot be encoded: %v", msg, err)
+			}
+			if err == nil {
+				if _, err := readFrame(bytes.NewReader(frame), MaxFrameBytes); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"errors"
+
+	"github.com/boragegate/boragegate/internal/mtls"
+)
+
+// Errors for input that is refused. The connection is closed and nothing is delivered.
+var (
+	// ErrVersion means that a frame has another protocol version.
+	ErrVersion = errors.New("unsupported protocol version")
+	// ErrFrameSize means that a frame is longer than allowed or too short for its header.
+	ErrFrameSize = errors.New("frame size out of range")
+	// ErrUnknownType means that the type of a message is not known.
+	ErrUnknownType = errors.New("unknown message type")
+	// ErrMalformed means that a body is not a well-formed message of its type.
+	ErrMalformed = errors.New("malformed message")
+	// ErrUnknownSender means that a peer may not connect or claims another instance's ID.
+	ErrUnknownSender = errors.New("unknown sender")
+	// ErrHandshake means that the TLS handshake of an incoming connection failed.
+	ErrHandshake = errors.New("TLS handshake failed")
+	// ErrWrongCell means that a peer belongs to another cell.
+	ErrWrongCell = errors.New("peer is in another cell")
+)
+
+// reasons maps errors to the last part of the counter "peer.rejected.<reason>".
+var reasons = []struct {
+	err  error
+	name string
+}{
+	{ErrVersion, "version"},
+	{ErrFrameSize, "frame_size"},
+	{ErrUnknownType, "unknown_type"},
+	{ErrMalformed, "malformed"},
+	{ErrUnknownSender, "unknown_sender"},
+	{mtls.ErrIdentity, "unknown_sender"},
+	{ErrHandshake, "handshake"},
+	{ErrWrongCell, "wrong_cell"},
+}
+
+// otherReason counts connections that broke.
+const otherReason = "broken"
+
+func reason(err error) string {
+	for _, r := range reasons {
+		if errors.Is(err, r.err) {
+			return r.name
+		}
+	}
+	return otherReason
+}
--- /dev/null
+++ b/internal/peer/hello.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// handshakeTimeout bounds connecting, TLS and the hello exchange, each.
+const handshakeTimeout = 2 * time.Second
+
+// hello is the first message in both directions of a connection.
+type hello struct {
+	Instance string `msgpack:"i"`
+	Cell     string `msgpack:"c"`
+}
+
+func writeHello(w io.Writer, h hello) error {
+	body, err := marshal(h)
+	if err != nil {
+		return err
+	}
+	b, err := appendFrame(nil, frame{kindHello, body})
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+func readHello(r io.Reader) (hello, error) {
+	f, err := readFrame(r, maxHelloBytes)
+	if err != nil {
+		return hello{}, err
+	}
+	if f.kind != kindHello {
+		return hello{}, fmt.Errorf("%w %d instead of hello", ErrUnknownType, f.kind)
+	}
+	var h hello
+	return h, unmarshal(f.body, &h)
+}
+
+// greet sends this instance's hello on an outgoing connection and checks the answer.
+func (t *Transport) greet(conn net.Conn, want string) error {
+	if err := writeHello(conn, t.hello()); err != nil {
+		return err
+	}
+	h, err := readHello(conn)
+	if err != nil {
+		return err
+	}
+	if h.Instance != want {
+		return fmt.Errorf("%w: %q answers for %q", ErrUnknownSender, h.Instance, want)
+	}
+	return t.checkCell(h)
+}
+
+// admit reads the hello of an incoming connection, checks it, and answers.
+// identity compares the ID with the connection's certificate.
+func (t *Transport) admit(conn net.Conn, identity func(id string) error) (string, error) {
+	h, err := readHello(conn)
+	if err != nil {
+		return "", err
+	}
+	if err := identity(h.Instance); err != nil {
+		return h.Instance, err
+	}
+	if h.Instance == "" || h.Instance == t.cfg.Self || !t.cfg.Allow(h.Instance) {
+		return h.Instance, fmt.Errorf("%w %q", ErrUnknownSender, h.Instance)
+	}
+	if err := t.checkCell(h); err != nil {
+		return h.Instance, err
+	}
+	return h.Instance, writeHello(conn, t.hello())
+}
+
+func (t *Transport) hello() hello { return hello{t.cfg.Self, t.cfg.Cell} }
+
+func (t *Transport) checkCell(h hello) error {
+	if h.Cell != t.cfg.Cell {
+		return fmt.Errorf("%w: %q instead of %q", ErrWrongCell, h.Cell, t.cfg.Cell)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,209 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// minBackoff and maxBackoff bound the wait before a reconnect. The longest
+	// wait is below the time in which a returning peer should be in contact again.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+	// writeTimeout ends a connection whose peer does not read.
+	writeTimeout = 5 * time.Second
+	// idleAfter closes a connection without messages, for example to a former member.
+	idleAfter = 30 * time.Second
+)
+
+var (
+	errIdle       = errors.New("idle")
+	errNewAddress = errors.New("peer has a new address")
+	errPeerClosed = errors.New("closed by peer")
+)
+
+// link is the outgoing connection to one peer. Its goroutine owns the connection.
+type link struct {
+	t     *Transport
+	id    string
+	queue *queue
+
+	mu      sync.Mutex
+	address string
+	// moved receives when the address changed.
+	moved chan struct{}
+}
+
+func newLink(t *Transport, id string) *link {
+	drop := func(p priority) {
+		if p == urgent {
+			t.count("dropped_urgent", 1)
+		} else {
+			t.count("dropped_low", 1)
+		}
+	}
+	return &link{t: t, id: id, queue: newQueue(drop), moved: make(chan struct{}, 1)}
+}
+
+func (l *link) setAddress(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.address == address {
+		return
+	}
+	known := l.address != ""
+	l.address = address
+	if known {
+		select {
+		case l.moved <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// run connects while there is something to send, until the transport stops or the link is idle.
+func (l *link) run() error {
+	backoff := minBackoff
+	for l.t.tomb.Alive() {
+		conn, err := l.connect()
+		if err == nil {
+			backoff = minBackoff
+			err = l.serve(conn)
+		} else {
+			l.t.count("connect_errors", 1)
+		}
+		if errors.Is(err, errIdle) && l.retire() {
+			return nil
+		}
+		if !errors.Is(err, errIdle) && !errors.Is(err, errNewAddress) && l.t.tomb.Alive() {
+			l.t.report(l.id, "peer connection lost", err)
+			l.t.pause(jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+	return nil
+}
+
+// jitter returns a random time between half and all of d, so that instances do
+// not reconnect to a restarted peer at the same moment.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1) //nolint:gosec // no secret
+}
+
+// retire removes the link if nothing was queued since it became idle.
+func (l *link) retire() bool {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	if !l.queue.empty() {
+		return false
+	}
+	delete(l.t.links, l.id)
+	return true
+}
+
+// connect dials, authenticates and exchanges hellos.
+func (l *link) connect() (net.Conn, error) {
+	l.mu.Lock()
+	address := l.address
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.t.tomb.Context(context.Background()), handshakeTimeout)
+	defer cancel()
+	dialer := net.Dialer{Control: limitUnacknowledged}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	var conn net.Conn = counted{raw, l.t}
+	if l.t.material != nil {
+		conn = tls.Client(conn, l.t.material.ClientConfig(l.id))
+	}
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := l.t.greet(conn, l.id); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	l.t.count("connects", 1)
+	return conn, nil
+}
+
+// serve writes frames until the connection ends.
+func (l *link) serve(conn net.Conn) error {
+	gone := make(chan struct{})
+	go func() {
+		// The peer sends nothing after its hello, so any result means the end.
+		_, _ = io.ReadFull(conn, make([]byte, 1))
+		close(gone)
+	}()
+	defer func() { _ = conn.Close(); <-gone }()
+	w := bufio.NewWriter(conn)
+	idle := time.NewTimer(idleAfter)
+	defer idle.Stop()
+	for {
+		wait, sent, err := l.writeReady(conn, w)
+		if err != nil {
+			return err
+		}
+		if sent {
+			idle.Reset(idleAfter)
+		}
+		if err := l.sleep(wait, gone, idle.C); err != nil {
+			return err
+		}
+	}
+}
+
+// writeReady writes all frames that may be sent now, in one flush. It returns
+// the time until the byte budget allows the next one.
+func (l *link) writeReady(conn net.Conn, w *bufio.Writer) (wait time.Duration, sent bool, err error) {
+	wait = idleAfter
+	mayLow := func(n int) bool {
+		wait = idleAfter
+		if d := l.t.budget.take(time.Now(), n); d > 0 {
+			wait = d
+			return false
+		}
+		return true
+	}
+	for {
+		frame, ok := l.queue.next(mayLow)
+		if !ok {
+			break
+		}
+		if !sent {
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		}
+		sent = true
+		if _, err := w.Write(frame); err != nil {
+			return 0, sent, err
+		}
+		l.t.count("messages_sent", 1)
+	}
+	return wait, sent, w.Flush()
+}
+
+// sleep waits for something to write. It returns why the connection must end, or nil.
+func (l *link) sleep(wait time.Duration, gone <-chan struct{}, idle <-chan time.Time) error {
+	budgeted := time.NewTimer(wait)
+	defer budgeted.Stop()
+	select {
+	case <-l.queue.wake:
+	case <-budgeted.C:
+	case <-l.moved:
+		return errNewAddress
+	case <-gone:
+		return errPeerClosed
+	case <-idle:
+		return errIdle
+	case <-l.t.tomb.Dying():
+		return net.ErrClosed
+	}
+	return nil
+}
