Run the whole path in the demo

Cause: the parts were built apart; the first whole run needed the missing message types and TLS between instances. Change: the peer codec knows all control messages and the table messages; forwarded requests use mutual TLS that checks the member's identity; lint findings are resolved.

--- a/cmd/boragegated/main.go
+++ b/cmd/boragegated/main.go
@@ -12,7 +12,9 @@
 	"github.com/boragegate/boragegate/internal/demo"
 )
 
-func main() {
+func main() { os.Exit(run()) }
+
+func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{
@@ -22,6 +24,7 @@
 	}
 	root.AddCommand(demo.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
--- a/examples/backend/main.go
+++ b/examples/backend/main.go
@@ -17,7 +17,9 @@
 // stopTimeout bounds the time that requests in flight get at a stop.
 const stopTimeout = 30 * time.Second
 
-func main() {
+func main() { os.Exit(execute()) }
+
+func execute() int {
 	var cfg server.Config
 	var listen string
 	cmd := &cobra.Command{
@@ -37,8 +39,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := cmd.ExecuteContext(ctx); err != nil {
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 func run(ctx context.Context, cfg server.Config, listen string) error {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return ownership.ServerReply{}, eris.Wrap(err, "encode request")
 	}
-	resp, err := c.do(ctx, http.MethodPost, "http://"+address+path, body)
+	resp, err := c.do(ctx, http.MethodPost, "http://"+address+path, body) //nolint:bodyclose // closed by drain
 	if err != nil {
 		return ownership.ServerReply{}, err
 	}
@@ -68,7 +68,7 @@
 
 // Healthy reports whether the server's health endpoint answers "ok".
 func (c *Client) Healthy(ctx context.Context, address string) bool {
-	resp, err := c.do(ctx, http.MethodGet, "http://"+address+healthPath, nil)
+	resp, err := c.do(ctx, http.MethodGet, "http://"+address+healthPath, nil) //nolint:bodyclose // closed by drain
 	if err != nil {
 		return false
 	}
--- a/internal/control/actions.go
+++ b/internal/control/actions.go
@@ -20,7 +20,7 @@
 		r.t.Go(func() error { r.write(a); return nil })
 	case ownership.StopAdmission:
 		r.cfg.Admissions.StopAdmission(a.Target, a.Term, a.Partitions, func() {
-			r.Post(ownership.AdmissionStopped{Target: a.Target, Term: a.Term, Partitions: a.Partitions})
+			r.Post(ownership.AdmissionStopped(a))
 		})
 	case ownership.ExtendContact:
 		r.contactUntil.Store(int64(a.Until))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -199,7 +199,7 @@
 		i.t.Go(i.reportLoad)
 		i.t.Go(i.transferRecords)
 		i.serve(i.lists.caller, i.gateway.CallerHandler())
-		i.serve(i.lists.forward, i.gateway.ForwardHandler())
+		i.serve(i.secure(i.lists.forward), i.gateway.ForwardHandler())
 		return nil
 	})
 	return nil
@@ -214,7 +214,7 @@
 }
 
 func (i *Instance) serve(ln net.Listener, h http.Handler) {
-	srv := i.lists.server(ln, h)
+	srv := i.lists.server(h)
 	i.t.Go(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -34,7 +35,7 @@
 	return nil
 }
 
-func (l *listeners) server(_ net.Listener, h http.Handler) *http.Server {
+func (l *listeners) server(h http.Handler) *http.Server {
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -76,6 +77,38 @@
 	return "https"
 }
 
+// forwardTransport returns the connections to other instances. With TLS, each
+// connection must prove that it leads to the member that has the address.
 func (i *Instance) forwardTransport() http.RoundTripper {
-	return gateway.NewTransport(nil, forwardConnections)
+	t := gateway.NewTransport(nil, forwardConnections)
+	if i.keys == nil {
+		return t
+	}
+	dial := t.DialContext
+	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		id, err := i.memberAt(address)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured := tls.Client(conn, i.keys.ClientConfig(id))
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return secured, nil
+	}
+	return t
+}
+
+func (i *Instance) memberAt(forwardAddress string) (string, error) {
+	for _, m := range i.members() {
+		if m.ForwardAddress == forwardAddress {
+			return m.ID, nil
+		}
+	}
+	return "", eris.Errorf("no member of the cell has the forward address %s", forwardAddress)
 }
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -70,10 +70,11 @@
 // not be repeated.
 func (c *clients) request(address, key string, i int) result {
 	r := result{service: "route", key: key, method: http.MethodGet, begin: time.Now(), id: uuid.Must(uuid.NewV7()).String()}
-	if i%4 == 3 {
-		r.service, r.method = "order", http.MethodPost
-	} else if i%4 == 1 {
+	switch i % 4 {
+	case 1:
 		r.method = http.MethodPut
+	case 3:
+		r.service, r.method = "order", http.MethodPost
 	}
 	path := "/items/" + key + "/" + r.id
 	req, err := http.NewRequest(r.method, "http://"+address+"/"+r.service+path, strings.NewReader(""))
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -28,6 +28,10 @@
 		ok = stateOK(m.State) && partitionsOK(m.Released)
 	case ownership.LoadUpdate:
 		ok = loadOK(m.Reports)
+	case ownership.AssignmentState:
+		ok = m.Highest == nil || assignmentOK(m.Highest)
+	case ownership.Proposal:
+		ok = (m.Cell == nil || cellOK(m.Cell)) && (m.Assignment == nil || assignmentOK(m.Assignment))
 	}
 	if !ok {
 		return fmt.Errorf("%w: content of %T out of range", ErrMalformed, msg)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -38,13 +38,19 @@
 	1:  entry[ownership.Heartbeat](urgent, true),
 	2:  entry[ownership.HeartbeatAck](urgent, true),
 	3:  entry[ownership.JoinRequest](low, true),
-	4:  entry[ownership.LeaveRequest](low, true),
+	4:  entry[ownership.LeaveRequest](urgent, true),
 	5:  entry[ownership.CellUpdate](urgent, false),
 	6:  entry[ownership.AssignmentUpdate](urgent, false),
-	7:  entry[ownership.AssignmentRequest](low, false),
+	7:  entry[ownership.AssignmentRequest](urgent, false),
 	8:  entry[ownership.ReleaseOrder](urgent, false),
 	9:  entry[ownership.TargetReport](urgent, false),
 	10: entry[ownership.LoadUpdate](low, true),
+	11: entry[ownership.AssignmentState](urgent, false),
+	12: entry[ownership.Proposal](urgent, false),
+	13: entry[ownership.ProposalAck](urgent, false),
+	14: entry[ownership.ControlEnded](urgent, false),
+	15: entry[ownership.TableRequest](low, true),
+	16: entry[ownership.TableUpdate](urgent, false),
 }
 
 // kinds is messageTypes by the type of the message.
