Prove the request path with golden sessions and close two holes

Cause: the failure points had no proof. Writing the sessions showed that a caller could reach the backend contract through a service path and so forge a grant, and that keys which a header cannot carry were answered as an unreachable server. Change: 30 golden sessions over two instances and scripted servers; paths below /boragegate are refused in any spelling; invalid keys get 400. Table of the take-over wait is a setting, so that tests can name it. Conclusion: outcomes, hand-over, idempotency and framing are covered; overload and speed are measured next.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	DefaultMaxBody        = 1 << 30
 	DefaultDialTimeout    = time.Second
 	DefaultStallTimeout   = 30 * time.Second
+	DefaultTakeOverWait   = 500 * time.Millisecond
 )
 
 // Config holds what a Gateway needs. Routes and Authority are required.
@@ -63,6 +64,9 @@
 	// StallTimeout is the longest time without progress in reading a request
 	// body or writing an answer. Default DefaultStallTimeout.
 	StallTimeout time.Duration
+	// TakeOverWait is the time for which a new tenure waits for the idempotency
+	// records of the one before, if it could not take them over. Default DefaultTakeOverWait.
+	TakeOverWait time.Duration
 	// Idempotency holds the limits of the idempotency records of each target.
 	Idempotency idempotency.Config
 }
@@ -86,6 +90,9 @@
 	if c.StallTimeout == 0 {
 		c.StallTimeout = DefaultStallTimeout
 	}
+	if c.TakeOverWait == 0 {
+		c.TakeOverWait = DefaultTakeOverWait
+	}
 	if c.ForwardScheme == "" {
 		c.ForwardScheme = "http"
 	}
--- a/internal/gateway/golden_test.go
+++ b/internal/gateway/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -79,4 +80,166 @@
 		Expect(resp.StatusCode).To(Equal(503))
 		s.golden("no-owner")
 	})
+
+	It("waits while a partition is handed over", func() {
+		// Guards against a request that fails, or runs at the old owner, in a hand-over.
+		drained := make(chan struct{})
+		s.script("t1", replyAfter(func() {
+			s.b.gateway.StopAdmission("route/t1", 7, []int{0, 1, 2, 3}, func() { close(drained) })
+			Consistently(drained, "10ms").ShouldNot(BeClosed(), "a request is in flight")
+		}, ok))
+		s.script("t2", reply(ok))
+		get := "GET /route/routes/k1 HTTP/1.1\nHost: h\n\n"
+		s.connect().send(get).receive()
+		Eventually(drained).Should(BeClosed())
+		c := s.connect().send(get)
+		Eventually(s.a.gateway.waiting.Load).Should(BeEquivalentTo(1))
+		s.note("planner", "gives the partitions to t2")
+		s.own("t2")
+		c.receive()
+		s.golden("hand-over")
+	})
+
+	It("waits until the target holds its grant", func() {
+		// Guards against requests without authority, and against failing them at once.
+		s.refuseRun.Store(true)
+		c := s.connect().send("GET /route/routes/k1 HTTP/1.1\nHost: h\n\n")
+		Eventually(s.a.gateway.waiting.Load).Should(BeEquivalentTo(1))
+		s.note("controller", "gets the authority")
+		s.script("t1", reply(ok))
+		s.refuseRun.Store(false)
+		c.receive()
+		s.golden("grant-pending")
+	})
+
+	It("tells the truth when the controller dies", func() {
+		s.script("t1", replyAfter(s.b.die, ok))
+		s.connect().send("POST /route/routes/k1 HTTP/1.1\nHost: h\nContent-Length: 2\n\nab").receive()
+		s.golden("controller-dies")
+	})
+
+	It("tells the truth when the controller or server cannot be reached", func() {
+		// Guards against "unknown" for what has certainly not run.
+		s.b.die()
+		s.connect().send("POST /route/routes/k1 HTTP/1.1\nHost: h\nContent-Length: 2\n\nab").receive()
+		s.golden("controller-unreachable")
+	})
+
+	It("ends a request at its deadline", func() {
+		// Guards against answers after the caller has given up, and against
+		// "not-run" for a request that its server has.
+		gone := make(chan struct{})
+		s.script("t1", hold(gone))
+		c := s.connect().send("POST /route/routes/k1 HTTP/1.1\nHost: h\nBoragegate-Deadline: 60\nContent-Length: 2\n\nab")
+		Eventually(gone).Should(BeClosed(), "the server has to see the cancellation")
+		c.receive()
+		s.connect().send("POST /route/routes/k1 HTTP/1.1\nHost: h\nBoragegate-Deadline: 0\nContent-Length: 2\n\nab").receive()
+		s.golden("deadline")
+	})
+
+	It("frees the slot of a caller that hangs up", func() {
+		gone := make(chan struct{})
+		s.script("t1", hold(gone))
+		c := s.connect().send("GET /route/routes/k1 HTTP/1.1\nHost: h\n\n")
+		load := func() int {
+			return s.b.gateway.targets.of(s.b.routes.Load().Services["route"].Targets[0]).gate.Load().Running
+		}
+		Eventually(load).Should(Equal(1))
+		s.note("caller", "closes the connection")
+		Expect(c.conn.Close()).To(Succeed())
+		Eventually(gone).Should(BeClosed())
+		Eventually(load).Should(BeZero())
+		s.golden("caller-hangs-up")
+	})
+
+	It("honours a server that sheds load", func() {
+		// Guards against further requests to a server that has asked for a pause.
+		s.script("t1", reply("HTTP/1.1 503 Service Unavailable\nBoragegate-Outcome: not-run\nRetry-After: 3\nContent-Length: 0\n\n"))
+		c := s.connect()
+		c.send("GET /route/routes/k1 HTTP/1.1\nHost: h\n\n").receive()
+		c.send("GET /route/routes/k2 HTTP/1.1\nHost: h\n\n").receive()
+		s.golden("server-sheds")
+	})
+
+	DescribeTable("leaves no room for smuggled requests",
+		// Guards against a second request that only one of two hops sees: each
+		// request is parsed and framed anew, or refused.
+		func(name, raw string, answers int, bs ...behaviour) {
+			s.script("t1", bs...)
+			c := s.connect().send(raw)
+			for range answers {
+				c.receive()
+			}
+			s.golden("smuggling-" + name)
+		},
+		Entry("length and chunks", "length-and-chunks",
+			"POST /route/routes/k1 HTTP/1.1\nHost: h\nContent-Length: 4\nTransfer-Encoding: chunked\n\n2\nab\n0\n\nGET /route/routes/k2 HTTP/1.1\nHost: h\n\n", 2, reply(ok), reply(ok)),
+		Entry("two lengths", "two-lengths", "POST /route/routes/k1 HTTP/1.1\nHost: h\nContent-Length: 2\nContent-Length: 3\n\nabc", 1),
+		Entry("unknown coding", "unknown-coding", "POST /route/routes/k1 HTTP/1.1\nHost: h\nTransfer-Encoding: xchunked\n\n0\n\n", 1),
+		Entry("space before the colon", "space-before-colon", "POST /route/routes/k1 HTTP/1.1\nHost: h\nTransfer-Encoding : chunked\nContent-Length: 2\n\nab", 1),
+		Entry("truncated chunk", "truncated-chunk", "POST /route/routes/k1 HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\nzz\n", 1),
+		Entry("line break in a key", "encoded-line-break", "GET /route/routes/k%0d%0aX:1 HTTP/1.1\nHost: h\n\n", 1),
+		Entry("space in a key", "encoded-space", "GET /route/routes/k%20 HTTP/1.1\nHost: h\n\n", 1),
+		Entry("call of the backend contract", "contract-call", "POST /route/%62oragegate/v1/lease HTTP/1.1\nHost: h\nBoragegate-Key: k\nContent-Length: 0\n\n", 1),
+		Entry("hidden call of the backend contract", "hidden-contract-call", "POST /route//x/..//boragegate/v1/release HTTP/1.1\nHost: h\nBoragegate-Key: k\nContent-Length: 0\n\n", 1),
+		Entry("two keys", "two-keys", "GET /route/x HTTP/1.1\nHost: h\nBoragegate-Key: k1\nBoragegate-Key: k2\n\n", 1),
+	)
+})
+
+var _ = Describe("session with idempotency keys", func() {
+	var s *session
+	send := func(key, body string) string {
+		return "POST /booking/orders HTTP/1.1\nHost: h\nIdempotency-Key: " + key + "\nContent-Length: 2\n\n" + body
+	}
+	created := "HTTP/1.1 201 Created\nContent-Type: text/plain\nContent-Length: 2\n\n#1"
+	BeforeEach(func() {
+		s = newSession(table.Service{Name: "booking", Partitions: 1, ChecksGrants: true, NotRepeatable: []string{"POST"}})
+		s.answers(s.b, "t1")
+		time.Sleep(2 * time.Millisecond) // the skew of this session: fresh keys come after it
+	})
+
+	It("runs a key once at one controller", func() {
+		// Guards against a second booking, and against the answer to another one.
+		key, slow := newRequestID(), newRequestID()
+		s.script("t1", reply(created))
+		c := s.connect()
+		c.send(send(key, "ab")).receive()
+		c.send(send(key, "ab")).receive()
+		c.send(send(key, "xy")).receive()
+		c.send("POST /booking/orders HTTP/1.1\nHost: h\nContent-Length: 2\n\nab").receive()
+		s.script("t1", replyAfter(func() { s.connect().send(send(slow, "ab")).receive() }, created))
+		c.send(send(slow, "ab")).receive()
+		lost := newRequestID()
+		s.script("t1", replyAndClose(""))
+		c.send(send(lost, "ab")).receive()
+		c.send(send(lost, "ab")).receive()
+		s.golden("idempotency-key")
+	})
+
+	It("keeps the records in a planned hand-over", func() {
+		key := newRequestID()
+		s.script("t1", reply(created))
+		c := s.connect()
+		c.send(send(key, "ab")).receive()
+		drained := make(chan struct{})
+		s.b.gateway.StopAdmission("booking/t1", 7, []int{0}, func() { close(drained) })
+		Eventually(drained).Should(BeClosed())
+		s.note("planner", "gives the partition to t2")
+		s.own("t2")
+		c.send(send(key, "ab")).receive()
+		s.golden("idempotency-key-hand-over")
+	})
+
+	It("refuses a key of an earlier tenure after a loss", func() {
+		key := newRequestID()
+		s.script("t1", reply(created))
+		c := s.connect()
+		c.send(send(key, "ab")).receive()
+		s.note("instance b", "is lost")
+		s.b.die()
+		s.own("t2")
+		s.answers(s.a, "t2")
+		c.send(send(key, "ab")).receive()
+		s.golden("idempotency-key-new-tenure")
+	})
 })
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	pathpkg "path"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,6 +50,9 @@
 	if s == nil {
 		return nil, nil, notRun(http.StatusNotFound, "unknown-service", "the table has no service "+strconv.Quote(name))
 	}
+	if isReserved(path) {
+		return nil, nil, notRun(http.StatusForbidden, "reserved-path", "the path belongs to the backend contract")
+	}
 	c := &call{in: r, service: s.Service, path: path, class: classOf(s.Service, path), safe: isSafe(r.Method)}
 	if f := c.readKeys(r.Header); f != nil {
 		return nil, nil, f
@@ -84,7 +88,10 @@
 	if c.key == "" && c.service.KeyPath != "" {
 		c.key = keyFromPath(c.service.KeyPath, c.path)
 	}
-	if c.service.Divided && (c.key == "" || len(c.key) > maxKeyLen) {
+	if !validKey(c.key) {
+		return notRun(http.StatusBadRequest, "malformed", "the key is too long or has control characters or surrounding spaces")
+	}
+	if c.service.Divided && c.key == "" {
 		return notRun(http.StatusBadRequest, "no-key", "the service is divided by key: "+headerKey+" or the path must have one")
 	}
 	if !slices.Contains(c.service.NotRepeatable, c.in.Method) {
@@ -118,6 +125,27 @@
 	}
 }
 
+// validKey reports whether a header can carry the key unchanged.
+func validKey(key string) bool {
+	control := func(r rune) bool { return r < ' ' || r == 0x7f }
+	return len(key) <= maxKeyLen && strings.TrimSpace(key) == key && !strings.ContainsFunc(key, control)
+}
+
+// reservedPath is the root of the backend contract at the servers. A caller who
+// could reach it would be able to grant and release partitions.
+const reservedPath = "/boragegate"
+
+// isReserved reports whether a server could take the path for one of the
+// backend contract, if it decodes, cleans or lower-cases paths.
+func isReserved(escaped string) bool {
+	decoded, err := url.PathUnescape(escaped)
+	if err != nil {
+		return true
+	}
+	clean := strings.ToLower(pathpkg.Clean("/" + strings.ReplaceAll(decoded, "\\", "/")))
+	return clean == reservedPath || strings.HasPrefix(clean, reservedPath+"/")
+}
+
 func classOf(s table.Service, path string) admission.Class {
 	for _, prefix := range s.BulkPaths {
 		if strings.HasPrefix(path, prefix) {
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/boragegate/boragegate/idempotency"
 	"github.com/boragegate/boragegate/internal/route"
 	"github.com/boragegate/boragegate/placement"
 	"github.com/boragegate/boragegate/table"
@@ -37,6 +39,7 @@
 
 type node struct {
 	gateway *Gateway
+	closers []func() error
 	routes  route.Holder
 	callers string
 	peers   string
@@ -58,20 +61,43 @@
 
 func (s *session) newNode(id string) *node {
 	n := &node{}
-	n.gateway = New(Config{Self: id, Routes: &n.routes, Authority: s, HandoverWait: 500 * time.Millisecond})
-	n.callers, n.peers = s.serve(n.gateway.CallerHandler()), s.serve(n.gateway.ForwardHandler())
+	n.gateway = New(Config{
+		Self: id, Routes: &n.routes, Authority: s, HandoverWait: time.Second,
+		Idempotency: idempotency.Config{Skew: time.Millisecond},
+	})
+	n.callers, n.peers = s.serve(n, n.gateway.CallerHandler()), s.serve(n, n.gateway.ForwardHandler())
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { _ = n.gateway.Run(ctx); close(stopped) }()
+	DeferCleanup(func() { cancel(); <-stopped })
 	return n
 }
 
-func (s *session) serve(h http.Handler) string {
+func (s *session) serve(n *node, h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	DeferCleanup(server.Close)
+	n.closers = append(n.closers, server.Close)
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String()
 }
 
+// die closes all listeners and connections of an instance.
+func (n *node) die() {
+	for _, f := range n.closers {
+		_ = f()
+	}
+}
+
+// answers waits until the instance judges requests that must not be repeated.
+func (s *session) answers(n *node, target string) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		return n.gateway.tenures.answers(s.service.Name+"/"+target, 0, idempotency.Tenure{Term: 7, Epoch: s.epoch})
+	}, "3s", "2ms").Should(BeTrue())
+}
+
 // own publishes routes in which the target owns all partitions at a new epoch.
 // Instance b is in front of t1, a in front of t2.
 func (s *session) own(target string) {
@@ -148,7 +174,7 @@
 func (s *session) connect() *caller {
 	conn, err := net.Dial("tcp", s.a.callers)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(conn.Close)
+	DeferCleanup(func() { _ = conn.Close() })
 	Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
 	return &caller{s, conn, bufio.NewReader(conn)}
 }
@@ -297,3 +323,14 @@
 	s.note("server "+name, "closes the connection without reading")
 	return false
 }
+
+// hold reads the request, and closes gone when the connection ends.
+func hold(gone chan struct{}) behaviour {
+	return func(s *session, name string, _ net.Conn, in *bufio.Reader) bool {
+		read(s, name, in)
+		_, err := in.Peek(1)
+		s.note("server "+name, "sees the end of the connection: "+fmt.Sprint(err != nil))
+		close(gone)
+		return false
+	}
+}
--- a/internal/gateway/tenures.go
+++ b/internal/gateway/tenures.go
@@ -9,16 +9,15 @@
 	"github.com/boragegate/boragegate/internal/route"
 )
 
-// Times of taking over idempotency records. A tenure that could not take over
-// records runs nothing for importWait. An instance hands over records only
-// within exportWindow after it has run its last request. So between a hand-over
-// of records and the end of the earlier tenure no third instance can have run
-// requests that the records do not contain, even if nobody noticed its tenure.
-const (
-	importWait   = 500 * time.Millisecond
-	exportWindow = 300 * time.Millisecond
-	tenurePoll   = 20 * time.Millisecond
-)
+// tenurePoll is the interval in which authority and records are looked for.
+const tenurePoll = 20 * time.Millisecond
+
+// exportWindow is the time after its last request within which an instance hands
+// over the records of a partition. A tenure that could not take over records
+// runs nothing for the longer TakeOverWait. So between the end of one tenure and
+// the hand-over of its records no third instance can have run requests that the
+// records do not contain, even if nobody noticed its tenure.
+func (c Config) exportWindow() time.Duration { return c.TakeOverWait * 3 / 5 }
 
 // place names a partition at a target.
 type place struct {
@@ -141,7 +140,7 @@
 		if !mayRun {
 			s.start = now // another instance may still run requests
 		}
-		switch waited := now.Sub(s.observed) >= importWait; {
+		switch waited := now.Sub(s.observed) >= t.gateway.cfg.TakeOverWait; {
 		case !waited && s.previous != nil:
 			imports[at] = s
 		case waited && mayRun:
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return recordsReply{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, importWait/2)
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.TakeOverWait/2)
 	defer cancel()
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, g.cfg.ForwardScheme+"://"+from.address+recordsPath, bytes.NewReader(body))
 	if err != nil {
@@ -124,7 +124,7 @@
 	for _, p := range req.Partitions {
 		tenure := idempotency.Tenure{Term: p.Term, Epoch: p.Epoch}
 		idle, drained := t.inflight.handOver(p.Partition, tenure)
-		if !drained || idle > exportWindow {
+		if !drained || idle > g.cfg.exportWindow() {
 			continue
 		}
 		if x, ok := t.log.Export(p.Partition, tenure); ok {
