Add the operators' command-line tool

Cause: operators work with files and shells and need exit codes that scripts can trust. Change: internal/cli has the table commands with confirmation, merge and wait, the state commands, aligned text, JSON and documented exit codes; cmd/boragegate is its main; the daemon's check command is cli.NewDaemonCheck. table edit sets fields by name and starts no editor, because the design rules out that a process starts another. Conclusion: a change can be made, confirmed, followed and undone from the shell.

--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,274 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/boragegate/boragegate/internal/operator/api"
+	"github.com/boragegate/boragegate/internal/operator/client"
+	"github.com/boragegate/boragegate/table"
+)
+
+// changeFlags are the flags of commands that make a new version.
+type changeFlags struct {
+	yes, wait bool
+	comment   string
+	timeout   time.Duration
+}
+
+func (f *changeFlags) register(cmd *cobra.Command) {
+	cmd.Flags().BoolVar(&f.yes, "yes", false, "do not ask when much capacity is taken away")
+	cmd.Flags().BoolVar(&f.wait, "wait", false, "wait until the version is in force on all instances")
+	cmd.Flags().StringVar(&f.comment, "comment", "", "reason for the history and the audit trail")
+	cmd.Flags().DurationVar(&f.timeout, "timeout", 0, "longest wait (default 30s)")
+}
+
+func (a *app) applyCommand() *cobra.Command {
+	var f changeFlags
+	var base uint64
+	var merge, dryRun bool
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make a file the new table",
+		Long: `Check a file, show its changes and make it the new version of the table. The
+change is based on the version in the file, on --base, or else on the current
+version. If another operator made a version since, the command shows both
+changes and exits with 3; --merge combines changes to different rows.
+
+A file whose name ends in .csv replaces the rows and keeps the services.
+
+The command asks before a change that takes away more than a share of a
+service's capacity (setting confirm_share, default 25%).`,
+		Example: "  boragegate table apply table.jsonc --wait --comment \"rack 14\"\n  boragegate table apply rows.csv --yes\n  boragegate table apply table.jsonc --merge",
+		Args:    exactly(1, "one file"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p, err := a.proposalFromFile(cmd.Context(), args[0], base)
+			if err != nil {
+				return err
+			}
+			if dryRun {
+				return a.printChanges(p.changes())
+			}
+			return a.apply(cmd.Context(), p, f, merge)
+		},
+	}
+	f.register(cmd)
+	cmd.Flags().Uint64Var(&base, "base", 0, "version that the change is based on")
+	cmd.Flags().BoolVar(&merge, "merge", false, "merge with changes of others to different rows")
+	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "show the changes only")
+	return cmd
+}
+
+func (a *app) printChanges(c table.Changes) error {
+	if a.json() {
+		return a.printJSON(c)
+	}
+	return a.printf("%s", c)
+}
+
+// apply makes a proposal the new version after a confirmation.
+func (a *app) apply(ctx context.Context, p *proposal, f changeFlags, merge bool) error {
+	if merge && p.base != p.currentVersion() {
+		if err := a.mergeLocally(ctx, p); err != nil {
+			return err
+		}
+	}
+	// With a stale base the instance reports the conflict, with both changes.
+	if p.base == p.currentVersion() {
+		if err := a.confirmChanges(p.changes(), f.yes); err != nil {
+			return err
+		}
+	}
+	content, err := encodeCompact(p.next)
+	if err != nil {
+		return err
+	}
+	callCtx, cancel := a.call(ctx)
+	defer cancel()
+	done, err := a.client.Apply(callCtx, api.Apply{Base: p.base, Table: content, Comment: f.comment, Merge: merge})
+	if err != nil {
+		done, err = a.resolve(ctx, p, err, merge)
+	}
+	return a.finish(ctx, done, err, f)
+}
+
+// mergeLocally replaces the proposal by its merge with the current table, so
+// that the operator confirms what will really change.
+func (a *app) mergeLocally(ctx context.Context, p *proposal) error {
+	callCtx, cancel := a.call(ctx)
+	defer cancel()
+	base := &table.Table{}
+	if p.base > 0 {
+		t, err := a.client.Table(callCtx, p.base)
+		if err != nil {
+			return err
+		}
+		if base, err = decodeTable(t.Table); err != nil {
+			return err
+		}
+	}
+	merged, err := table.Merge(base, p.next, p.current)
+	if err != nil {
+		return err
+	}
+	if err := table.Check(merged, table.Options{Previous: p.current}).Err(); err != nil {
+		return err
+	}
+	a.notef("merged with version %d\n", p.currentVersion())
+	p.next, p.base = merged, p.currentVersion()
+	return nil
+}
+
+// confirmChanges shows changes and asks if they take away much capacity.
+func (a *app) confirmChanges(c table.Changes, yes bool) error {
+	a.notef("%s", c)
+	most, found := c.MostTakenAway()
+	if !found || most.TakenAway <= a.settings.ConfirmShare {
+		return nil
+	}
+	return a.confirm(yes, fmt.Sprintf("this takes away %.0f%% of the capacity of service %s", 100*most.TakenAway, most.Service))
+}
+
+// confirm asks a person; scripts confirm with --yes.
+func (a *app) confirm(yes bool, effect string) error {
+	if yes {
+		return nil
+	}
+	if !a.env.Terminal {
+		return &exitError{ExitNotConfirmed, fmt.Errorf("not confirmed: %s; use --yes to confirm without a terminal", effect)}
+	}
+	_, _ = fmt.Fprintf(a.env.Err, "%s, go on? [y/N] ", effect)
+	answer, _ := bufio.NewReader(a.env.In).ReadString('\n')
+	if s := strings.ToLower(strings.TrimSpace(answer)); s == "y" || s == "yes" {
+		return nil
+	}
+	return &exitError{ExitNotConfirmed, errors.New("not confirmed, nothing was changed")}
+}
+
+// Attempts to find out whether a change was made.
+const (
+	resolveAttempts = 5
+	resolveWait     = 500 * time.Millisecond
+)
+
+// resolve finds out what became of a change whose answer was lost: the version
+// after its base has its content if it was made. That version decides, unless
+// the instance may have merged the change into a later one.
+func (a *app) resolve(ctx context.Context, p *proposal, cause error, merge bool) (api.Applied, error) {
+	cause = unknownIfNoAnswer(cause)
+	if ExitCode(cause) != ExitUnknown {
+		return api.Applied{}, cause
+	}
+	a.notef("no certain answer, reading the table again\n")
+	for range resolveAttempts {
+		callCtx, cancel := a.call(ctx)
+		t, err := a.client.Table(callCtx, p.base+1)
+		cancel()
+		if err != nil {
+			a.env.Sleep(ctx, resolveWait)
+			continue
+		}
+		stored, err := decodeTable(t.Table)
+		switch {
+		case err != nil:
+			return api.Applied{}, err
+		case table.Diff(stored, p.next).Empty():
+			return api.Applied{Version: t.Version}, nil
+		case !merge:
+			return api.Applied{}, &exitError{ExitConflict, fmt.Errorf("%s made version %d with another content; nothing was changed", t.Operator, p.base+1)}
+		}
+		break
+	}
+	return api.Applied{}, fmt.Errorf("%w; look at \"boragegate table history\" before you apply again", cause)
+}
+
+// unknownIfNoAnswer gives a change without an answer its exit code.
+func unknownIfNoAnswer(err error) error {
+	if errors.Is(err, client.ErrNoAnswer) {
+		return &exitError{ExitUnknown, fmt.Errorf("it is unknown whether the change was made: %w", err)}
+	}
+	return err
+}
+
+// finish reports an accepted change and waits for it if asked.
+func (a *app) finish(ctx context.Context, done api.Applied, err error, f changeFlags) error {
+	if err != nil {
+		return err
+	}
+	version := done.Version.Version
+	if !f.wait {
+		if a.json() {
+			return a.printJSON(done)
+		}
+		return a.printf("%s\n", acceptedText(done))
+	}
+	a.notef("%s\n", acceptedText(done))
+	return a.wait(ctx, version, f.timeout)
+}
+
+func acceptedText(done api.Applied) string {
+	switch {
+	case done.Unchanged:
+		return fmt.Sprintf("version %d has this content already, nothing was changed", done.Version.Version)
+	case done.Action == "merge":
+		return fmt.Sprintf("version %d accepted, merged with changes of others", done.Version.Version)
+	default:
+		return fmt.Sprintf("version %d accepted", done.Version.Version)
+	}
+}
+
+func (a *app) rollbackCommand() *cobra.Command {
+	var f changeFlags
+	cmd := &cobra.Command{
+		Use:   "rollback VERSION",
+		Short: "Make the content of an older version the new table",
+		Long: `Make a new version with the content of an older one. The version itself only
+rises, so instances never go back to an older version.`,
+		Example: "  boragegate table rollback 41 --wait --comment \"rack 14 has no cooling\"",
+		Args:    exactly(1, "one version"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			to, err := parseVersion(args[0])
+			if err != nil {
+				return err
+			}
+			return a.rollback(cmd.Context(), to, f)
+		},
+	}
+	f.register(cmd)
+	return cmd
+}
+
+func (a *app) rollback(ctx context.Context, to uint64, f changeFlags) error {
+	if err := a.connect(); err != nil {
+		return err
+	}
+	p := &proposal{}
+	var err error
+	if p.current, err = a.current(ctx); err != nil {
+		return err
+	}
+	p.base = p.currentVersion()
+	callCtx, cancel := a.call(ctx)
+	defer cancel()
+	old, err := a.client.Table(callCtx, to)
+	if err != nil {
+		return err
+	}
+	if p.next, err = decodeTable(old.Table); err != nil {
+		return err
+	}
+	if err := a.confirmChanges(p.changes(), f.yes); err != nil {
+		return err
+	}
+	done, err := a.client.Rollback(callCtx, api.Rollback{To: to, Base: p.base, Comment: f.comment})
+	if err != nil {
+		done, err = a.resolve(ctx, p, err, false)
+	}
+	return a.finish(ctx, done, err, f)
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,130 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// ANSI sequences.
+const (
+	red   = "\x1b[31m"
+	bold  = "\x1b[1m"
+	plain = "\x1b[0m"
+)
+
+// columnGap separates columns.
+const columnGap = "  "
+
+// cell is one field of a grid.
+type cell struct {
+	text string
+	// right aligns numbers.
+	right bool
+	// bad marks what needs attention.
+	bad bool
+}
+
+// text is a left-aligned cell.
+func text(s string) cell { return cell{text: printable(s)} }
+
+// num is a right-aligned cell.
+func num[T any](v T) cell { return cell{text: fmt.Sprint(v), right: true} }
+
+// printable replaces control characters, so that a text that others wrote
+// cannot control the terminal.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return '?'
+	}, s)
+}
+
+func percent(v float64) cell { return cell{text: fmt.Sprintf("%.1f%%", 100*v), right: true} }
+
+func badIf(bad bool, c cell) cell {
+	c.bad = bad
+	return c
+}
+
+// grid is a table of aligned text.
+type grid struct {
+	header []string
+	rows   [][]cell
+}
+
+func (g *grid) add(cells ...cell) { g.rows = append(g.rows, cells) }
+
+// String formats the grid; the colours do not count for the widths.
+func (g *grid) String(color bool) string {
+	head := make([]cell, len(g.header))
+	for i, h := range g.header {
+		head[i] = cell{text: h, right: len(g.rows) > 0 && g.rows[0][i].right}
+	}
+	rows := append([][]cell{head}, g.rows...)
+	widths := make([]int, len(g.header))
+	for _, r := range rows {
+		for i, c := range r {
+			widths[i] = max(widths[i], utf8.RuneCountInString(c.text))
+		}
+	}
+	var b strings.Builder
+	for n, r := range rows {
+		var line strings.Builder
+		for i, c := range r {
+			line.WriteString(pad(c, widths[i], color, n == 0))
+			line.WriteString(columnGap)
+		}
+		b.WriteString(strings.TrimRight(line.String(), " ") + "\n")
+	}
+	return b.String()
+}
+
+func pad(c cell, width int, color, head bool) string {
+	space := strings.Repeat(" ", width-utf8.RuneCountInString(c.text))
+	s := c.text
+	switch {
+	case color && head:
+		s = bold + s + plain
+	case color && c.bad && s != "":
+		s = red + s + plain
+	}
+	if c.right {
+		return space + s
+	}
+	return s + space
+}
+
+func (a *app) printf(format string, args ...any) error {
+	_, err := fmt.Fprintf(a.env.Out, format, args...)
+	return err
+}
+
+func (a *app) printGrid(g *grid) error { return a.printf("%s", g.String(a.env.Color)) }
+
+func (a *app) printJSON(v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode output: %w", err)
+	}
+	return a.printf("%s\n", b)
+}
+
+// notef tells people what happens; scripts that read JSON do not see it.
+func (a *app) notef(format string, args ...any) {
+	if !a.json() {
+		_, _ = fmt.Fprintf(a.env.Err, format, args...)
+	}
+}
+
+// warn marks text for people.
+func (a *app) warn(s string) string {
+	if a.env.Color {
+		return red + s + plain
+	}
+	return s
+}
--- /dev/null
+++ b/internal/cli/services.go
@@ -0,0 +1,138 @@
+package cli
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/boragegate/boragegate/internal/operator/api"
+)
+
+func (a *app) servicesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "services [SERVICE]",
+		Short:   "Show services and targets with load against weight",
+		Example: "  boragegate services\n  boragegate services route -o json",
+		Args:    atMost(1, "at most one service"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			query := url.Values{}
+			if len(args) == 1 {
+				query.Set("service", args[0])
+			}
+			return show(a, cmd, api.PathServices, query, a.printServices)
+		},
+	}
+}
+
+func (a *app) printServices(list []api.Service) error {
+	for i, s := range list {
+		if i > 0 {
+			if err := a.printf("\n"); err != nil {
+				return err
+			}
+		}
+		state := "all owned"
+		if s.Unowned > 0 {
+			state = a.warn(fmt.Sprintf("%d without an owner", s.Unowned))
+		}
+		provisional := ""
+		if s.Provisional {
+			provisional = a.warn(" (provisional)")
+		}
+		if err := a.printf("service %s: %d partitions, %s, %d moves pending, imbalance %.2f%s\n",
+			s.Name, s.Partitions, state, s.Moves, s.Imbalance, provisional); err != nil {
+			return err
+		}
+		if err := a.printTargets(s.Targets); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) printTargets(targets []api.Target) error {
+	g := &grid{header: []string{"TARGET", "ZONE", "ADDRESS", "STATE", "WEIGHT", "LOAD", "USED", "SLOTS", "QUEUED", "PARTITIONS", "CONTROLLER", "TERM"}}
+	for _, t := range targets {
+		g.add(text(t.Name), text(t.Zone), text(t.Address), badIf(t.State != "held", text(t.State)), percent(t.WeightShare),
+			percent(t.LoadShare), num(t.InUse), num(t.Slots), num(t.Queued), num(t.Partitions), text(t.Controller), num(t.Term))
+	}
+	return a.printGrid(g)
+}
+
+func (a *app) ownersCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "owners SERVICE",
+		Short:   "Show which target owns which partitions",
+		Example: "  boragegate owners route",
+		Args:    exactly(1, "one service"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return show(a, cmd, api.PathOwners, url.Values{"service": args}, a.printOwners)
+		},
+	}
+}
+
+func (a *app) printOwners(o api.Owners) error {
+	provisional := ""
+	if o.Provisional {
+		provisional = a.warn(", provisional: the store does not have it yet")
+	}
+	if err := a.printf("assignment %d of %s%s\n", o.Version, o.Service, provisional); err != nil {
+		return err
+	}
+	g := &grid{header: []string{"FROM", "TO", "TARGET", "EPOCH"}}
+	for _, r := range o.Ranges {
+		target := text(r.Target)
+		if r.Target == "" {
+			target = badIf(true, text("none"))
+		}
+		g.add(num(r.From), num(r.To), target, num(r.Epoch))
+	}
+	if err := a.printGrid(g); err != nil || len(o.Pending) == 0 {
+		return err
+	}
+	g = &grid{header: []string{"PENDING", "FROM", "TO", "REASON"}}
+	for _, p := range o.Pending {
+		g.add(num(p.Partition), text(p.From), text(p.To), text(p.Reason))
+	}
+	return a.printGrid(g)
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain SERVICE KEY",
+		Short:   "Explain where a key goes and why",
+		Example: "  boragegate explain route district-7",
+		Args:    exactly(2, "a service and a key"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return show(a, cmd, api.PathExplain, url.Values{"service": {args[0]}, "key": {args[1]}}, a.printExplanation)
+		},
+	}
+}
+
+func (a *app) printExplanation(e api.Explanation) error {
+	lines := []string{
+		fmt.Sprintf("key %q of service %s hashes to partition %d", e.Key, e.Service, e.Partition),
+	}
+	if e.Target == "" {
+		lines = append(lines, a.warn("the partition has no owner"))
+	} else {
+		lines = append(lines,
+			fmt.Sprintf("partition %d is owned by target %s (%s, zone %s) since assignment %d", e.Partition, e.Target, e.Address, e.Zone, e.Epoch),
+			fmt.Sprintf("target %s is %s", e.Target, e.State),
+			fmt.Sprintf("requests go through instance %s (zone %s), controller with term %d", e.Controller, e.ControllerZone, e.Term))
+	}
+	if e.Provisional {
+		lines = append(lines, a.warn("the assignment is provisional: the store does not have it yet"))
+	}
+	if e.Pending != nil {
+		lines = append(lines, fmt.Sprintf("a move to %s is pending: %s", e.Pending.To, e.Pending.Reason))
+	}
+	if e.Serving {
+		lines = append(lines, "a request for the key can run now")
+	} else {
+		lines = append(lines, a.warn("a request for the key cannot run now: "+e.Reason))
+	}
+	return a.printf("%s\n", strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/cli/session_test.go
@@ -0,0 +1,245 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/spf13/cobra"
+
+	"github.com/boragegate/boragegate/internal/cli"
+	"github.com/boragegate/boragegate/internal/operator/operatortest"
+	"github.com/boragegate/boragegate/internal/settings"
+)
+
+// session runs commands against a fake instance and records what a terminal shows.
+type session struct {
+	t      *testing.T
+	fake   *operatortest.Fake
+	server *httptest.Server
+	// addresses are those of all servers; they differ from run to run.
+	addresses []string
+	dir       string
+	out       bytes.Buffer
+	env       cli.Env
+	now       time.Time
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, fake: operatortest.New(), dir: t.TempDir()}
+	s.serve(s.fake.Handler)
+	s.file("token", operatortest.TokenAnna)
+	s.env = cli.Env{
+		In: strings.NewReader(""), Out: &s.out, Err: &s.out,
+		Environ: []string{"BORAGEGATE_TOKEN_FILE=" + filepath.Join(s.dir, "token")},
+		Now:     func() time.Time { return s.now },
+		Sleep:   func(_ context.Context, d time.Duration) { s.now = s.now.Add(d) },
+	}
+	return s
+}
+
+func (s *session) serve(h http.Handler) {
+	s.server = httptest.NewServer(h)
+	s.t.Cleanup(s.server.Close)
+	s.addresses = append(s.addresses, s.server.Listener.Addr().String())
+}
+
+func (s *session) file(name, content string) {
+	if err := os.WriteFile(filepath.Join(s.dir, name), []byte(content), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// run runs one command line; names of files that the session made are replaced by their paths.
+func (s *session) run(line string) int {
+	env := s.env
+	env.Environ = append([]string{"BORAGEGATE_ADDRESS=" + s.server.Listener.Addr().String()}, env.Environ...)
+	cmd := cli.NewWith("1.0.0", env)
+	args := strings.Fields(line)
+	for i, arg := range args {
+		path := filepath.Join(s.dir, arg)
+		if _, err := os.Stat(path); err == nil {
+			args[i] = path
+		}
+	}
+	cmd.SetArgs(args)
+	fmt.Fprintf(&s.out, "$ boragegate %s\n", line)
+	code := cli.Execute(cmd)
+	fmt.Fprintf(&s.out, "[exit %d]\n\n", code)
+	return code
+}
+
+func (s *session) assert(name string) {
+	text := strings.ReplaceAll(s.out.String(), s.dir+"/", "")
+	for _, a := range s.addresses {
+		text = strings.ReplaceAll(text, a, "ADDRESS")
+	}
+	goldie.New(s.t).Assert(s.t, name, []byte(text))
+}
+
+// table returns First with replacements.
+func table(version int, pairs ...string) string {
+	text := strings.NewReplacer(pairs...).Replace(operatortest.First)
+	return strings.Replace(text, "{", fmt.Sprintf("{\n  \"version\": %d,", version), 1)
+}
+
+// TestTableSession guards the way of a change: read, check, compare, apply, wait,
+// conflict, merge and rollback.
+func TestTableSession(t *testing.T) {
+	s := newSession(t)
+	s.file("mine.jsonc", table(1, `"weight": 2`, `"weight": 3`))
+	s.file("theirs.jsonc", table(1, `"weight": 2`, `"weight": 4`))
+	s.file("other.jsonc", table(1, `"r1", "address": "10.0.1.1:8080"`, `"r1", "address": "10.0.1.9:8080"`))
+	s.run("table get")
+	s.run("table check mine.jsonc")
+	s.run("table diff mine.jsonc")
+	s.fake.Behind = 3
+	s.run("table apply mine.jsonc --wait --comment rack-14")
+	s.run("table apply mine.jsonc --base 2")
+	s.run("table apply theirs.jsonc")
+	s.run("table apply other.jsonc --merge")
+	s.run("table edit route/r1 weight=1.5")
+	s.run("table edit route/r3 --add address=10.0.1.3:8080 zone=pest slots=6")
+	s.run("table get --format csv")
+	s.file("rows.csv", "service,target,address,zone,slots\nroute,r1,10.0.1.1:8080,buda,6\nroute,r2,10.0.1.2:8080,pest,12\n")
+	s.run("table apply rows.csv --yes")
+	s.run("table rollback 1")
+	s.run("table history --limit 4")
+	s.run("table diff --from 1 --to 2 -o json")
+	s.run("table wait")
+	s.run("audit --limit 2")
+	s.assert("table")
+}
+
+// TestStateSession guards the texts that people read and the JSON that scripts read.
+func TestStateSession(t *testing.T) {
+	s := newSession(t)
+	for _, line := range []string{
+		"status", "instances", "services", "owners route", "explain route district-7", "events", "events --limit 1 -o json",
+		"services route -o json", "instances forget i3 --yes", "audit", "version",
+	} {
+		s.run(line)
+	}
+	s.assert("state")
+}
+
+// TestErrorSession guards exit codes and messages on which scripts and people rely.
+func TestErrorSession(t *testing.T) {
+	s := newSession(t)
+	s.file("bad.jsonc", table(1, `"slots": 6, "weight": 2`, `"slots": 0, "wieght": 2`))
+	s.file("drain.jsonc", table(1, `"slots": 6, "weight": 2`, `"slots": 6, "drain": true`))
+	s.file("partitions.jsonc", table(1, `"divided": true`, `"divided": true, "partitions": 64`))
+	check := func(want int, line string) {
+		t.Helper()
+		if got := s.run(line); got != want {
+			t.Errorf("%s: exit code %d, want %d", line, got, want)
+		}
+	}
+	check(cli.ExitUsage, "tabel")
+	check(cli.ExitUsage, "table aply x")
+	check(cli.ExitUsage, "table apply")
+	check(cli.ExitUsage, "status --frob")
+	check(cli.ExitUsage, "status -o xml")
+	check(cli.ExitUsage, "table edit route/r9 weight=2")
+	check(cli.ExitUsage, "table rollback first")
+	check(cli.ExitFindings, "table check bad.jsonc")
+	check(cli.ExitFindings, "table check --offline bad.jsonc -o json")
+	check(cli.ExitFindings, "table check partitions.jsonc")
+	check(cli.ExitFindings, "table edit route/r1 slots=many")
+	check(cli.ExitError, "table check none.jsonc")
+	check(cli.ExitNotConfirmed, "table apply drain.jsonc")
+	s.env.Terminal, s.env.In = true, strings.NewReader("n\n")
+	check(cli.ExitNotConfirmed, "table apply drain.jsonc")
+	s.env.In = strings.NewReader("y\n")
+	check(cli.ExitOK, "table apply drain.jsonc")
+	s.fake.Behind = 1000
+	check(cli.ExitNotInForce, "table wait 2 --timeout 2s")
+	check(cli.ExitNotInForce, "table wait 2 --timeout 1s -o json")
+	check(cli.ExitUnavailable, "--address 127.0.0.1:1 status")
+	s.file("token", "not-the-token-of-anybody")
+	check(cli.ExitRefused, "status")
+	s.file("token", "short")
+	check(cli.ExitError, "status")
+	s.assert("errors")
+}
+
+// TestLostAnswer guards against a change that is reported as failed although it
+// was made, and against one that is reported as made although nobody knows.
+func TestLostAnswer(t *testing.T) {
+	s := newSession(t)
+	s.file("mine.jsonc", table(1, `"weight": 2`, `"weight": 3`))
+	// lose passes changes on to the instance if made, and cuts the connection instead of answering.
+	lose := func(made bool) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				s.fake.Handler.ServeHTTP(w, r)
+				return
+			}
+			if made {
+				s.fake.Handler.ServeHTTP(httptest.NewRecorder(), r)
+			}
+			panic(http.ErrAbortHandler)
+		})
+	}
+	s.serve(lose(false))
+	if got := s.run("table apply mine.jsonc"); got != cli.ExitUnknown {
+		t.Errorf("exit code %d for an unknown outcome", got)
+	}
+	s.serve(lose(true))
+	if got := s.run("table apply mine.jsonc"); got != cli.ExitOK {
+		t.Errorf("exit code %d for a change that was made", got)
+	}
+	s.assert("lost")
+}
+
+// TestHelp guards against a command without help or example.
+func TestHelp(t *testing.T) {
+	s := newSession(t)
+	var walk func(c *cobra.Command)
+	walk = func(c *cobra.Command) {
+		if c.Example == "" {
+			t.Errorf("%s has no example", c.CommandPath())
+		}
+		s.run(strings.TrimPrefix(c.CommandPath()+" --help", "boragegate "))
+		for _, sub := range c.Commands() {
+			walk(sub)
+		}
+	}
+	walk(cli.NewWith("1.0.0", s.env))
+	s.assert("help")
+}
+
+// TestDaemonCheck guards against a check that passes settings with findings.
+func TestDaemonCheck(t *testing.T) {
+	s := newSession(t)
+	s.file("settings.jsonc", `{"instance": "i1"}`)
+	cmd := cli.NewDaemonCheck(settings.Options{})
+	cmd.SilenceErrors, cmd.SilenceUsage = true, true
+	cmd.SetErr(&s.out)
+	cmd.SetArgs([]string{filepath.Join(s.dir, "settings.jsonc"), "--set", "zone=pest"})
+	if got := cli.Execute(cmd); got != cli.ExitFindings || !strings.Contains(s.out.String(), "store.module") || strings.Contains(s.out.String(), " zone:") {
+		t.Errorf("exit code %d:\n%s", got, s.out.String())
+	}
+}
+
+// TestColor guards against colours that break the alignment of columns.
+func TestColor(t *testing.T) {
+	s := newSession(t)
+	s.run("instances")
+	without := s.out.String()
+	s.out.Reset()
+	s.env.Color = true
+	s.run("instances")
+	with := strings.NewReplacer("\x1b[31m", "", "\x1b[1m", "", "\x1b[0m", "").Replace(s.out.String())
+	if with == s.out.String() || with != without {
+		t.Errorf("with colours removed:\n%s\nwithout colours:\n%s", with, without)
+	}
+}
