--- /dev/null
+++ b/internal/logging/limiter.go
@@ -0,0 +1,125 @@
+package logging
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// noEvent is the name of lines without an event.
+	noEvent = "log"
+	// otherEvents is the name under which the limit counts when there are too many names.
+	otherEvents = "other"
+	// maxNames bounds the names that the limit counts apart.
+	maxNames = 1000
+	// eventLeftOut reports what was left out.
+	eventLeftOut = "log.left_out"
+)
+
+// limiter passes on a bounded number of lines per second and event name.
+type limiter struct {
+	out       io.Writer
+	recent    *Recent
+	clock     clockwork.Clock
+	perSecond int
+	leftOut   func(event string)
+
+	mu      sync.Mutex
+	windows map[string]*window
+}
+
+// window counts the lines of one event name since its start.
+type window struct {
+	start   time.Time
+	written int
+	left    int
+}
+
+// Write takes one line of JSON.
+func (l *limiter) Write(p []byte) (int, error) {
+	var fields map[string]any
+	if err := json.Unmarshal(p, &fields); err != nil {
+		return l.out.Write(p)
+	}
+	event, _ := fields[fieldEvent].(string)
+	if event == "" {
+		event = noEvent
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if err := l.report(now, second); err != nil {
+		return 0, err
+	}
+	w := l.window(event, now)
+	if w.written >= l.perSecond {
+		w.left++
+		if l.leftOut != nil {
+			l.leftOut(event)
+		}
+		return len(p), nil
+	}
+	w.written++
+	l.recent.add(event, fields)
+	if _, err := l.out.Write(p); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// window returns the window of a name; the mutex is held.
+func (l *limiter) window(event string, now time.Time) *window {
+	w := l.windows[event]
+	if w == nil && len(l.windows) >= maxNames {
+		event = otherEvents
+		w = l.windows[event]
+	}
+	if w == nil {
+		w = &window{start: now}
+		l.windows[event] = w
+	}
+	return w
+}
+
+// report writes the counts of windows that are older than the age and ends them.
+func (l *limiter) report(now time.Time, age time.Duration) error {
+	var names []string
+	for name, w := range l.windows {
+		if now.Sub(w.start) >= age {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		w := l.windows[name]
+		delete(l.windows, name)
+		if w.left == 0 {
+			continue
+		}
+		line, err := json.Marshal(map[string]any{
+			fieldTime: now.UTC().Format(timeFormat), zerolog.LevelFieldName: zerolog.LevelWarnValue,
+			fieldEvent: eventLeftOut, "of": name, "lines": w.left,
+		})
+		if err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+		if _, err := l.out.Write(line); err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+	}
+	return nil
+}
+
+// flush reports all windows.
+func (l *limiter) flush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.report(l.clock.Now(), 0) // nobody can be told that the log cannot be written
+}
