--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"net"
 	"net/http"
@@ -18,7 +19,9 @@
 	"github.com/boragegate/boragegate/internal/backend"
 	"github.com/boragegate/boragegate/internal/control"
 	"github.com/boragegate/boragegate/internal/gateway"
+	"github.com/boragegate/boragegate/internal/logging"
 	"github.com/boragegate/boragegate/internal/mtls"
+	"github.com/boragegate/boragegate/internal/operator"
 	"github.com/boragegate/boragegate/internal/peer"
 	"github.com/boragegate/boragegate/internal/route"
 	"github.com/boragegate/boragegate/internal/tablesync"
@@ -26,6 +29,7 @@
 	"github.com/boragegate/boragegate/placement"
 	"github.com/boragegate/boragegate/platform"
 	"github.com/boragegate/boragegate/table"
+	"github.com/boragegate/boragegate/table/tablestore"
 )
 
 const (
@@ -59,6 +63,14 @@
 	// hand-over at a planned stop, in which the balancer takes notice.
 	BalancerDelay time.Duration
 	Logger        zerolog.Logger
+	// Recent has the last events of the log; nil reports none.
+	Recent *logging.Recent
+	// Release is the version of the program.
+	Release string
+	// Operators are the names of operators by the SHA-256 of their token.
+	Operators map[[sha256.Size]byte]string
+	// KnownZones are the zones that the table may name; nil accepts every zone.
+	KnownZones []string
 	// Record takes the records of the control core; nil logs them.
 	Record control.Recorder
 }
@@ -77,6 +89,8 @@
 	servers  *backend.Client
 	keys     *mtls.Material
 	lists    listeners
+	tables   *tablestore.Tables
+	started  time.Time
 
 	t        tomb.Tomb
 	stopping atomic.Bool
@@ -84,7 +98,7 @@
 
 // New opens the listeners. The instance takes no requests before Start.
 func New(o Options) (*Instance, error) {
-	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New()}
+	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New(), started: time.Now()}
 	i.logger = o.Logger.With().Str("instance", o.ID).Logger()
 	if err := i.open(); err != nil {
 		i.lists.close()
@@ -132,6 +146,7 @@
 		Self: i.opts.ID, Store: i.opts.Store, Peers: i.peers, Members: i.members,
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
 	})
+	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
 }
 
 // admissions lets the control loop stop the admission of requests.
@@ -199,6 +214,7 @@
 		i.t.Go(i.reportLoad)
 		i.t.Go(i.transferRecords)
 		i.serve(i.lists.caller, i.gateway.CallerHandler())
+		i.serve(i.lists.operator, i.operatorHandler())
 		i.serve(i.secure(i.lists.forward), i.gateway.ForwardHandler())
 		return nil
 	})
@@ -226,6 +242,18 @@
 // CallerAddress is the address on which callers are served.
 func (i *Instance) CallerAddress() string { return i.lists.caller.Addr().String() }
 
+// OperatorAddress is the address of the operator listener.
+func (i *Instance) OperatorAddress() string { return i.lists.operator.Addr().String() }
+
+// Tables returns the access to the operators' table.
+func (i *Instance) Tables() *tablestore.Tables { return i.tables }
+
+func (i *Instance) operatorHandler() http.Handler {
+	return operator.New(operator.Options{
+		Tables: i.tables, Daemon: i, Registry: i.metrics, Tokens: i.opts.Operators, Zones: i.opts.KnownZones,
+	})
+}
+
 // View returns the control core's view.
 func (i *Instance) View() *ownership.View { return i.runner.View() }
 
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -17,8 +17,9 @@
 
 // listeners are the HTTP listeners of an instance and their servers.
 type listeners struct {
-	caller  net.Listener
-	forward net.Listener
+	caller   net.Listener
+	forward  net.Listener
+	operator net.Listener
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -32,6 +33,9 @@
 	if l.forward, err = net.Listen("tcp", a.Forward); err != nil {
 		return eris.Wrap(err, "forward listener")
 	}
+	if l.operator, err = net.Listen("tcp", a.Operator); err != nil {
+		return eris.Wrap(err, "operator listener")
+	}
 	return nil
 }
 
@@ -55,7 +59,7 @@
 	for _, srv := range l.servers {
 		_ = srv.Close()
 	}
-	for _, ln := range []net.Listener{l.caller, l.forward} {
+	for _, ln := range []net.Listener{l.caller, l.forward, l.operator} {
 		if ln != nil {
 			_ = ln.Close()
 		}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/boragegate/boragegate/internal/operator/api"
+	"github.com/boragegate/boragegate/internal/tablesync"
+	"github.com/boragegate/boragegate/ownership"
+)
+
+// behindAfter is the time without news after which the table version of another
+// instance counts as unknown: one cycle of requests and one lost message.
+const behindAfter = 10 * time.Second
+
+// Status implements operator.Daemon.
+func (i *Instance) Status() api.Status {
+	v := i.runner.View()
+	ready, reason := i.Ready()
+	s := api.Status{
+		Instance: i.opts.ID, Zone: i.opts.Zone, Cell: i.opts.Cell, Release: i.opts.Release, Started: i.started,
+		Ready: ready, Reason: reason, InContact: i.runner.InContact(),
+		TableConfirmedMS: i.follower.ConfirmedAge().Milliseconds(),
+		Provisional:      v.Provisional,
+		Controls:         slices.Sorted(maps.Keys(v.Held)),
+	}
+	if t := i.follower.Table(); t != nil {
+		s.TableVersion = t.Version
+	}
+	if v.Cell != nil {
+		s.Planner, s.Members = v.Cell.Planner, len(v.Cell.Members)
+	}
+	err := i.follower.StoreError()
+	if s.StoreAvailable = err == nil; err != nil {
+		s.StoreError = err.Error()
+	}
+	return s
+}
+
+// Instances implements operator.Daemon.
+func (i *Instance) Instances() []api.Instance {
+	v := i.runner.View()
+	if v.Cell == nil {
+		return nil
+	}
+	inForce := i.follower.InForce()
+	list := make([]api.Instance, 0, len(v.Cell.Members))
+	for _, m := range v.Cell.Members {
+		list = append(list, i.instance(v.Cell, m, inForce))
+	}
+	slices.SortFunc(list, func(a, b api.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (i *Instance) instance(cell *ownership.Cell, m ownership.Member, inForce map[string]tablesync.Version) api.Instance {
+	in := api.Instance{ID: m.ID, Zone: m.Zone, State: "member", Planner: cell.Planner == m.ID, PeerAddress: m.PeerAddress, HeardMS: -1}
+	for _, c := range cell.Controllers {
+		if c.Instance == m.ID {
+			in.Controls++
+		}
+	}
+	heard, ok := inForce[m.ID]
+	if !ok {
+		in.Reason = "not heard of yet"
+		return in
+	}
+	age := time.Since(heard.Heard)
+	in.HeardMS, in.TableVersion = age.Milliseconds(), heard.Version
+	if age > behindAfter {
+		in.State, in.Reason = "silent", "nothing heard for "+age.Round(time.Second).String()
+	}
+	return in
+}
+
+// Services implements operator.Daemon.
+func (i *Instance) Services() []api.Service {
+	t := i.follower.Table()
+	if t == nil {
+		return nil
+	}
+	v := i.runner.View()
+	list := make([]api.Service, 0, len(t.Services))
+	for _, s := range t.Services {
+		list = append(list, i.service(t, s, v))
+	}
+	return list
+}
+
+// Events implements operator.Daemon.
+func (i *Instance) Events(limit int) []api.Event {
+	if i.opts.Recent == nil {
+		return nil
+	}
+	entries := i.opts.Recent.Last(limit)
+	list := make([]api.Event, len(entries))
+	for n, e := range entries {
+		list[n] = api.Event{Time: e.Time, Event: e.Event, Fields: e.Fields}
+	}
+	return list
+}
--- a/internal/tablesync/exchange.go
+++ b/internal/tablesync/exchange.go
@@ -14,6 +14,9 @@
 		ctx, cancel := context.WithTimeout(f.t.Context(nil), readTimeout) //nolint:staticcheck // tomb takes nil for its own context
 		err := f.Refresh(ctx)
 		cancel()
+		f.mu.Lock()
+		f.storeErr = err
+		f.mu.Unlock()
 		if err != nil {
 			f.cfg.Logger.Debug().Str("event", "table.read_failed").Err(err).Send()
 		}
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -70,6 +70,7 @@
 	inForce   map[string]Version
 	next      int
 	changed   chan struct{}
+	storeErr  error
 }
 
 // Version is the table version that an instance has in force, as last heard.
@@ -115,6 +116,24 @@
 	return f.known && f.now()-f.confirmed < ConfirmationValid, f.known
 }
 
+// ConfirmedAge returns the time since the version in force was known to be the
+// newest, or -1 ms if it never was.
+func (f *Follower) ConfirmedAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.known {
+		return -time.Millisecond
+	}
+	return f.now() - f.confirmed
+}
+
+// StoreError returns the error of the last read of the store, or nil.
+func (f *Follower) StoreError() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeErr
+}
+
 // InForce returns the version that each instance has in force, as last heard.
 func (f *Follower) InForce() map[string]Version {
 	f.mu.Lock()
