--- a/membership/membership.go
+++ b/membership/membership.go
@@ -30,6 +30,13 @@
 	SuspendFor time.Duration
 	// ReportValid is the age of the answered stamp up to which a report is used.
 	ReportValid time.Duration
+	// ClaimAfter is the time for which a member may say that it is out of contact
+	// before it is no longer acknowledged, so that it can be replaced.
+	ClaimAfter time.Duration
+	// GraceFor is the time for which a member that was suspended and is heard again
+	// is acknowledged whatever it says. It is longer than the time without, so that
+	// at some moment enough members acknowledge each other.
+	GraceFor time.Duration
 	// PauseAfter is the time between two calls of Advance from which this process
 	// counts as paused: the time does not count as silence of others.
 	PauseAfter time.Duration
@@ -46,8 +53,13 @@
 
 // peer is what a tracker knows of another member.
 type peer struct {
-	heard     lease.Instant
-	silent    bool
+	heard     lease.Instant // last heartbeat of a member in contact
+	any       lease.Instant // last heartbeat
+	answered  lease.Instant // last heartbeat that was acknowledged
+	claim     lease.Instant // start of the time in which it says that it is out of contact
+	grace     lease.Instant // acknowledged until then
+	silent    bool          // reported silent
+	since     lease.Instant // start of the silence
 	suspended lease.Instant // no acknowledgement before
 	acked     lease.Instant // own time of the newest acknowledged heartbeat
 	hasAck    bool
@@ -83,7 +95,7 @@
 		if p := old[id]; p != nil {
 			t.peers[id] = p
 		} else {
-			t.peers[id] = &peer{heard: now}
+			t.peers[id] = &peer{heard: now, any: now}
 		}
 	}
 }
@@ -91,7 +103,7 @@
 // Forget drops what is known of a member, for example after it restarted.
 func (t *Tracker) Forget(now lease.Instant, id string) {
 	if t.peers[id] != nil {
-		t.peers[id] = &peer{heard: now}
+		t.peers[id] = &peer{heard: now, any: now}
 	}
 }
 
@@ -103,39 +115,73 @@
 func (t *Tracker) Advance(now lease.Instant) (noticed bool) {
 	if gap := now - t.last; t.cfg.PauseAfter > 0 && gap > t.cfg.PauseAfter {
 		for _, p := range t.peers {
-			p.heard = min(now, p.heard+gap)
+			p.heard, p.any = min(now, p.heard+gap), min(now, p.any+gap)
 		}
 	}
 	t.last = now
 	for _, p := range t.peers {
-		if now-p.heard < t.cfg.SilenceAfter {
-			continue
+		noticed = t.judge(now, p) || noticed
+	}
+	return noticed
+}
+
+// judge marks a member silent, or not silent, at now. A member that is heard but
+// says that it is out of contact is reported for ReportValid only: after the
+// suspension that follows it is acknowledged again, so that it can return.
+func (t *Tracker) judge(now lease.Instant, p *peer) (noticed bool) {
+	quiet := now - max(p.heard, p.answered)
+	heard := now-p.any < t.cfg.SilenceAfter
+	switch {
+	case quiet < t.cfg.SilenceAfter || now < p.grace:
+		p.silent = false
+	case p.silent && heard && now-p.since >= t.cfg.ReportValid:
+		p.silent, p.grace = false, p.suspended+t.cfg.GraceFor
+	default:
+		if noticed = !p.silent; noticed {
+			p.since = now
 		}
-		noticed = noticed || !p.silent
-		p.silent = true
-		p.suspended = now + t.cfg.SuspendFor
+		p.silent, p.suspended = true, now+t.cfg.SuspendFor
 	}
 	return noticed
 }
 
-// Heard notes a heartbeat from a member. It returns false if the heartbeat must
-// not be acknowledged.
-func (t *Tracker) Heard(now lease.Instant, from string) bool {
+// Heard notes a heartbeat from a member, which says whether it is in contact. It
+// returns false if the heartbeat must not be acknowledged.
+func (t *Tracker) Heard(now lease.Instant, from string, contact bool) bool {
 	p := t.peers[from]
 	if p == nil {
 		return false
 	}
-	if now-p.heard >= t.cfg.SilenceAfter {
-		p.silent, p.suspended = true, now+t.cfg.SuspendFor
+	t.judge(now, p)
+	p.any = now
+	switch {
+	case contact:
+		p.heard, p.claim = now, 0
+	case p.claim == 0:
+		p.claim = now
 	}
-	p.heard = now
-	if t.Suspended(now, from) {
+	if t.Suspended(now, from) || p.claim > 0 && now-p.claim >= t.cfg.ClaimAfter && now >= p.grace {
 		return false
 	}
-	p.silent = false
+	p.answered = now
 	return true
 }
 
+// Claims reports whether the member says that it is out of contact for some time.
+func (t *Tracker) Claims(now lease.Instant, id string) bool {
+	p := t.peers[id]
+	return p != nil && p.claim > 0 && now-p.claim >= t.cfg.ClaimAfter
+}
+
+// Ready reports whether the member's last heartbeat is recent and says that it is in contact.
+func (t *Tracker) Ready(now lease.Instant, id string) bool {
+	if id == t.cfg.Self {
+		return true
+	}
+	p := t.peers[id]
+	return p != nil && p.claim == 0 && now-p.heard < t.cfg.SilenceAfter && !t.Suspended(now, id)
+}
+
 // Suspended reports whether the member is not acknowledged at now.
 func (t *Tracker) Suspended(now lease.Instant, id string) bool {
 	p := t.peers[id]
@@ -146,8 +192,8 @@
 func (t *Tracker) Silent(now lease.Instant) []Silence {
 	var out []Silence
 	for _, id := range t.ids {
-		if p := t.peers[id]; p != nil && now-p.heard >= t.cfg.SilenceAfter {
-			out = append(out, Silence{ID: id, For: now - p.heard})
+		if p := t.peers[id]; p != nil && p.silent {
+			out = append(out, Silence{ID: id, For: now - max(p.heard, p.answered)})
 		}
 	}
 	return out
@@ -218,8 +264,8 @@
 		return false, 0
 	}
 	ends := t.scratch[:0]
-	if p := t.peers[id]; now-p.heard >= t.cfg.SilenceAfter {
-		ends = append(ends, p.heard+t.cfg.ContactWindow)
+	if p := t.peers[id]; p.silent {
+		ends = append(ends, max(p.heard, p.answered)+t.cfg.ContactWindow)
 	}
 	for other, p := range t.peers {
 		if other == id || now-p.stamp > t.cfg.ReportValid {
--- a/ownership/controller.go
+++ b/ownership/controller.go
@@ -55,7 +55,7 @@
 // promise records that a partition was released and how far the release got.
 type promise struct {
 	epoch uint64
-	term  uint64 // of the planner at that time
+	term  uint64 // of the newest planner that was told
 	done  bool   // nothing is in flight
 	asked bool   // the server or the admission was asked
 }
@@ -214,7 +214,7 @@
 			delete(h.promised, p)
 		}
 		if h.state == TargetLapsed {
-			h.promised[p] = promise{epoch: epoch, term: s.a.Version >> 32, done: true}
+			h.promised[p] = promise{epoch: epoch, term: c.cell.PlannerTerm, done: true}
 		}
 		if _, ok := h.promised[p]; !ok || c.cfg.faults.noReleasePromise {
 			h.want[p] = epoch
@@ -289,6 +289,12 @@
 	if s := c.services[h.service]; s != nil {
 		r.Version = s.version()
 	}
+	for p, pr := range h.promised {
+		if pr.term < c.cell.PlannerTerm {
+			pr.term = c.cell.PlannerTerm // this planner relies on it from now on
+			h.promised[p] = pr
+		}
+	}
 	if h.state != TargetLapsed {
 		for p, pr := range h.promised {
 			if pr.done && c.now >= h.quietAt {
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -15,6 +15,10 @@
 // paused. It is several tick intervals, so a busy loop is not a pause.
 const pauseAfter = 100 * time.Millisecond
 
+// graceWindows is the number of suspension times for which a returning member is
+// acknowledged; see membership.Config.GraceFor.
+const graceWindows = 3
+
 // Core is the control core of one instance. See the package comment.
 type Core struct {
 	cfg Config
@@ -63,6 +67,7 @@
 		contact: membership.New(membership.Config{
 			Self: cfg.Self.ID, ContactWindow: cfg.ContactWindow, SilenceAfter: cfg.SilenceAfter,
 			SuspendFor: cfg.SuspendFor, ReportValid: cfg.ReportValid, PauseAfter: pauseAfter,
+			ClaimAfter: cfg.HeartbeatInterval, GraceFor: graceWindows * cfg.SuspendFor,
 			KeepAcknowledging: cfg.faults.noSuspension,
 		}),
 		cellSlot: &slot{kind: kindCell, name: cfg.Cell},
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -148,6 +148,8 @@
 	CellVersion uint64 `msgpack:"c"`
 	// Incarnation is that of the sender's process.
 	Incarnation string `msgpack:"n"`
+	// Contact says that the sender is in contact with a majority.
+	Contact bool `msgpack:"o"`
 }
 
 // HeartbeatAck acknowledges a heartbeat.
--- a/ownership/heartbeat.go
+++ b/ownership/heartbeat.go
@@ -53,7 +53,7 @@
 	c.nextBeat = max(c.nextBeat+c.cfg.HeartbeatInterval, c.now+c.cfg.HeartbeatInterval/2)
 	c.broadcast(Heartbeat{
 		Stamp:       lease.Stamp(c.now), //nolint:gosec // instants are not negative
-		CellVersion: c.cell.Version, Incarnation: c.cfg.Incarnation,
+		CellVersion: c.cell.Version, Incarnation: c.cfg.Incarnation, Contact: c.inContact(),
 	})
 }
 
@@ -68,7 +68,7 @@
 		}
 		return
 	}
-	ack := c.contact.Heard(c.now, from)
+	ack := c.contact.Heard(c.now, from, m.Contact)
 	if m.CellVersion < c.cell.Version {
 		c.send(from, CellUpdate{Cell: c.cell, Provisional: c.cellProvisional})
 	}
--- a/ownership/join.go
+++ b/ownership/join.go
@@ -92,12 +92,12 @@
 		c.emit(SendMessage{To: m.Member, Message: CellUpdate{Cell: c.cell, Provisional: c.cellProvisional}})
 		return
 	}
-	i := slices.IndexFunc(c.plan.joiners, func(o Member) bool { return o.ID == from })
+	i := slices.IndexFunc(c.plan.joiners, func(o joiner) bool { return o.ID == from })
 	if i >= 0 {
-		c.plan.joiners[i] = m.Member
+		c.plan.joiners[i] = joiner{m.Member, c.now}
 		return
 	}
-	c.plan.joiners = append(c.plan.joiners, m.Member)
+	c.plan.joiners = append(c.plan.joiners, joiner{m.Member, c.now})
 }
 
 func (c *Core) onLeave(from string) {
--- a/ownership/plan_cell.go
+++ b/ownership/plan_cell.go
@@ -7,6 +7,9 @@
 	"github.com/boragegate/boragegate/platform"
 )
 
+// joinerValid is the number of join intervals for which a request to join counts.
+const joinerValid = 3
+
 // planCell brings the cell record up to date, one change at a time.
 func (c *Core) planCell(due bool) {
 	p := c.plan
@@ -50,7 +53,7 @@
 		r := &next.Controllers[i]
 		info := c.plan.info(r.Target)
 		switch {
-		case lost[r.Instance] || c.plan.leaving[r.Instance] || s.count(r.Instance) < 0:
+		case lost[r.Instance] || c.gone(next, r.Instance):
 			c.rename(s, r, r.Term+1)
 			changed = true
 		case max(info.seenTerm, c.terms[r.Target]) > r.Term:
@@ -70,6 +73,13 @@
 	return changed
 }
 
+// gone reports whether a member can no longer control targets: it is not in the
+// record, is leaving, or says that it is out of contact.
+func (c *Core) gone(cell *Cell, id string) bool {
+	_, ok := cell.Member(id)
+	return !ok || c.plan.leaving[id] || c.contact.Claims(c.now, id)
+}
+
 // rename gives a target another controller. What the old one released is void,
 // so the new one needs the newest assignment that may be in force.
 func (c *Core) rename(s *spread, r *Controller, term uint64) {
@@ -78,16 +88,22 @@
 	r.Instance, r.Term, r.KeepSet, r.MinVersion = to, term, false, c.headVersion(r.Target)
 }
 
-// headVersion is the highest version of the target's assignment that may be in force.
+// headVersion is the highest version of the target's assignment that may be in
+// force. Before the fence it is the fence, as the store may have a version of an
+// older planner that nobody else knows.
 func (c *Core) headVersion(target string) uint64 {
-	sp := c.plan.services[serviceOf(target)]
-	if sp == nil {
+	s := c.services[serviceOf(target)]
+	if s == nil {
 		return 0
 	}
-	if sp.change != nil && sp.fenced {
-		return max(sp.change.version, sp.s.version())
+	sp := c.plan.services[s.name]
+	if sp == nil || !sp.fenced {
+		return c.plan.term<<32 | 1
 	}
-	return sp.s.version()
+	if sp.change != nil {
+		return max(sp.change.version, s.version())
+	}
+	return s.version()
 }
 
 func (c *Core) fenced(service string) bool {
@@ -105,7 +121,7 @@
 			lost[m.ID] = true
 			continue
 		}
-		if !c.plan.leaving[m.ID] {
+		if !c.plan.leaving[m.ID] && c.contact.Ready(c.now, m.ID) {
 			can = append(can, m)
 		}
 	}
@@ -148,34 +164,6 @@
 	return len(next.Controllers) < n
 }
 
-// rebalance hands targets to members that control two or more fewer than others.
-func (c *Core) rebalance(next *Cell, s *spread) (changed bool) {
-	for range next.Controllers {
-		from, to := s.extremes()
-		if s.count(from)-s.count(to) < 2 {
-			break
-		}
-		best := -1
-		for i, r := range next.Controllers {
-			if r.Instance != from || c.plan.info(r.Target).state != TargetHeld {
-				continue
-			}
-			if best < 0 || s.zone[to] != c.rows[r.Target].Zone && s.zone[to] == c.rows[next.Controllers[best].Target].Zone {
-				best = i
-			}
-		}
-		if best < 0 {
-			break
-		}
-		r := &next.Controllers[best]
-		s.move(from, to)
-		c.record(true, "controller.named", "target", r.Target, "from", from, "to", to, "term", r.Term+1)
-		r.Instance, r.Term, r.MinVersion = to, r.Term+1, c.headVersion(r.Target)
-		changed = true
-	}
-	return changed
-}
-
 // planMembers adds or removes one member, or hands on the planner's role. Only
 // one member changes at a time, so consecutive majorities overlap.
 func (c *Core) planMembers(next *Cell) bool {
@@ -183,8 +171,9 @@
 	if p.blocked(nil) {
 		return false
 	}
-	if len(p.joiners) > 0 {
-		m := p.joiners[0]
+	p.joiners = slices.DeleteFunc(p.joiners, func(j joiner) bool { return c.now-j.asked > joinerValid*c.cfg.JoinInterval })
+	if len(p.joiners) > 0 && c.quorum(next, p.joiners[0].ID, "") {
+		m := p.joiners[0].Member
 		p.joiners = p.joiners[1:]
 		if i := slices.IndexFunc(next.Members, func(o Member) bool { return o.ID == m.ID }); i >= 0 {
 			next.Members[i] = m
@@ -197,7 +186,7 @@
 		return true
 	}
 	for i, m := range next.Members {
-		if m.ID == c.cfg.Self.ID || !c.removable(m.ID) {
+		if m.ID == c.cfg.Self.ID || !c.quorum(next, "", m.ID) || !c.removable(m.ID) {
 			continue
 		}
 		next.Members = slices.Delete(next.Members, i, i+1)
@@ -207,6 +196,25 @@
 	return p.leaving[c.cfg.Self.ID] && c.handOver(next)
 }
 
+// quorum reports whether a majority would be in contact if one member were added
+// or removed. The change would otherwise end the contact of the planner.
+func (c *Core) quorum(cell *Cell, add, remove string) bool {
+	n, ready := 0, 0
+	if _, ok := cell.Member(add); add != "" && !ok {
+		n, ready = 1, 1
+	}
+	for _, m := range cell.Members {
+		if m.ID == remove {
+			continue
+		}
+		n++
+		if m.ID == add || c.contact.Ready(c.now, m.ID) {
+			ready++
+		}
+	}
+	return ready >= n/2+1
+}
+
 // restartControllers raises the terms of targets whose controller restarted.
 func (c *Core) restartControllers(next *Cell, id string) {
 	for i := range next.Controllers {
--- a/ownership/plan_partitions.go
+++ b/ownership/plan_partitions.go
@@ -208,7 +208,8 @@
 // for example after its lease lapsed and it returned.
 func (c *Core) regrant(sp *servicePlan, usable map[string]bool, changes map[int]string) {
 	a := sp.s.a
-	for id, i := range c.plan.targets {
+	for id := range c.plan.targets {
+		i := c.plan.info(id)
 		if serviceOf(id) != sp.s.name || i.state != TargetHeld {
 			continue
 		}
--- a/ownership/planner.go
+++ b/ownership/planner.go
@@ -13,11 +13,17 @@
 	services   map[string]*servicePlan
 	targets    map[string]*targetInfo
 	due        lease.Instant
-	joiners    []Member
+	joiners    []joiner
 	leaving    map[string]bool
 	removedAt  lease.Instant
 }
 
+// joiner is a process that asked to join.
+type joiner struct {
+	Member
+	asked lease.Instant
+}
+
 // targetInfo is what the controller of a target reported last.
 type targetInfo struct {
 	term     uint64
@@ -101,12 +107,23 @@
 	return false
 }
 
-// info returns what is known of a target under its current controller.
+// unknownTarget stands for targets without a report.
+var unknownTarget = &targetInfo{state: TargetUnknown}
+
+// info returns what is known of a target under its current controller. Nothing
+// is known once another controller is on its way into the record: that one may
+// grant again what the present one has released.
 func (p *planner) info(target string) *targetInfo {
-	if i := p.targets[target]; i != nil {
-		return i
+	i := p.targets[target]
+	if i == nil {
+		return unknownTarget
 	}
-	return &targetInfo{state: TargetUnknown}
+	if p.cellChange.pending() {
+		if r, ok := p.cellChange.cell.Controller(target); !ok || r.Term != i.term {
+			return unknownTarget
+		}
+	}
+	return i
 }
 
 // controllersChanged forgets reports of controllers that were replaced.
@@ -142,7 +159,10 @@
 			i.released[p] = true
 		}
 	}
-	old := c.plan.info(m.Target)
+	old := c.plan.targets[m.Target]
+	if old == nil {
+		old = unknownTarget
+	}
 	c.plan.targets[m.Target] = i
 	if old.state != i.state || old.draining != i.draining || len(i.released) > 0 || i.state == TargetLapsed || old.version != i.version {
 		if sp := c.plan.services[serviceOf(m.Target)]; sp != nil {
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		if _, ok := h.promised[p]; !ok {
-			h.promised[p] = promise{epoch: s.a.Epoch[p], term: s.a.Version >> 32}
+			h.promised[p] = promise{epoch: s.a.Epoch[p], term: c.cell.PlannerTerm}
 			h.wantDirty = true
 		}
 	}
--- a/ownership/server.go
+++ b/ownership/server.go
@@ -37,6 +37,7 @@
 		}
 		return
 	}
+	c.stopPromised(h)
 	if h.change.id == 0 && (!h.synced || h.compare) {
 		want := h.want
 		if c.now < h.notBefore {
@@ -50,7 +51,6 @@
 	if h.synced && h.renew == 0 {
 		c.sendRenewal(h)
 	}
-	c.stopPromised(h)
 }
 
 // blind reports whether the controller must not change the server's set: it does
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -26,7 +26,8 @@
 	servers map[string]*fakeServer
 	table   *table.Table
 	listed  map[string]platform.Instance
-	cuts    map[[2]string]bool // from, to
+	cuts    map[[2]string]bool          // from, to
+	last    map[[2]string]time.Duration // delivery of the newest message of a link
 	jitter  time.Duration
 	drop    float64 // share of messages lost
 	double  float64 // share of messages delivered twice
@@ -34,6 +35,8 @@
 	log     []string
 	quiet   map[string]bool // records left out of the log
 	broken  []string        // invariants that failed
+	verbose bool            // log calls and writes too
+	gap     time.Duration   // time in which a partition had no owner
 	terms   map[string]uint64
 	epochs  map[string]uint64
 
@@ -78,7 +81,7 @@
 func newWorld(seed int64) *world {
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), nodes: map[string]*node{}, servers: map[string]*fakeServer{},
-		table: &table.Table{Version: 1}, listed: map[string]platform.Instance{}, cuts: map[[2]string]bool{},
+		table: &table.Table{Version: 1}, listed: map[string]platform.Instance{}, cuts: map[[2]string]bool{}, last: map[[2]string]time.Duration{},
 		jitter: 200 * time.Microsecond, quiet: map[string]bool{}, terms: map[string]uint64{}, epochs: map[string]uint64{},
 		messages: map[string]int{}, bytes: map[string]int{}, calls: map[string]int{},
 	}
@@ -178,12 +181,19 @@
 	case ReadObject:
 		w.store.call(n, e.ID, platform.Object{Kind: e.Kind, Name: e.Name}, false)
 	case WriteObject:
+		w.detail("%s writes %s/%s", n.id, e.Object.Kind, e.Object.Name)
 		w.store.call(n, e.ID, e.Object, true)
 	case SendMessage:
 		w.message(n.id, e)
 	case CallServer:
+		if r := e.Request; r.Release {
+			w.detail("%s calls %s: term %d releases %s", n.id, e.Target, r.Term, spans(r.Removals))
+		} else if len(r.Grants)+len(r.Removals) > 0 {
+			w.detail("%s calls %s: term %d grants %s removes %s replace=%v", n.id, e.Target, r.Term, spans(r.Grants), spans(r.Removals), r.Replace)
+		}
 		w.server(n, e)
 	case StopAdmission:
+		w.detail("%s stops admission to %s for %v", n.id, e.Target, e.Partitions)
 		w.after(time.Millisecond, func() { n.step(AdmissionStopped(e)) })
 	case PublishRoutes:
 		n.published(e.View)
@@ -200,6 +210,21 @@
 	}
 }
 
+// detail logs a line that only golden runs have.
+func (w *world) detail(format string, args ...any) {
+	if w.verbose {
+		w.logf(format, args...)
+	}
+}
+
+func spans(rs []Range) string {
+	var b []string
+	for _, r := range rs {
+		b = append(b, fmt.Sprintf("%d-%d", r.From, r.To))
+	}
+	return "[" + strings.Join(b, " ") + "]"
+}
+
 func fields(kv []any) string {
 	var b strings.Builder
 	for i := 0; i+1 < len(kv); i += 2 {
@@ -223,7 +248,12 @@
 		times = 2
 	}
 	for range times {
-		w.after(w.delay(), func() {
+		at := w.now + w.delay()
+		if link := [2]string{from, e.To.ID}; w.double == 0 { // a connection keeps the order
+			at = max(at, w.last[link])
+			w.last[link] = at
+		}
+		w.after(at-w.now, func() {
 			if to := w.nodes[e.To.ID]; to != nil {
 				to.step(MessageReceived{From: from, Message: m})
 			}
