--- a/ownership/assignment.go
+++ b/ownership/assignment.go
@@ -133,7 +133,11 @@
 	}
 	if m.Recover > 0 {
 		if m.Recover == c.cell.PlannerTerm {
-			c.send(from, AssignmentState{Service: s.name, Term: m.Recover, Highest: s.newest()})
+			state := AssignmentState{Service: s.name, Term: m.Recover}
+			if s.highest() > m.Have {
+				state.Highest = s.newest()
+			}
+			c.send(from, state)
 		}
 		return
 	}
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -194,13 +194,16 @@
 type AssignmentRequest struct {
 	Service string `msgpack:"s"`
 	Recover uint64 `msgpack:"r,omitempty"`
+	// Have is the version that the new planner has.
+	Have uint64 `msgpack:"h,omitempty"`
 }
 
 // AssignmentState answers an AssignmentRequest of a new planner. A member that
 // has sent it accepts no proposal of an older planner.
 type AssignmentState struct {
-	Service string                `msgpack:"s"`
-	Term    uint64                `msgpack:"n"`
+	Service string `msgpack:"s"`
+	Term    uint64 `msgpack:"n"`
+	// Highest is nil if the new planner has it already.
 	Highest *placement.Assignment `msgpack:"f"`
 }
 
--- a/ownership/plan_cell.go
+++ b/ownership/plan_cell.go
@@ -24,6 +24,9 @@
 	if p.cellChange != nil && p.cellChange.done() {
 		p.cellChange = nil
 	}
+	if !due && !c.cellUrgent() {
+		return
+	}
 	next := c.cell.Clone()
 	changed := c.planControllers(next, due)
 	members := false
@@ -41,6 +44,21 @@
 	c.advanceChange(p.cellChange, p.blocked(p.cellChange))
 }
 
+// cellUrgent reports whether the record may need a change before the next plan is due.
+func (c *Core) cellUrgent() bool {
+	p := c.plan
+	if p.urgent || len(p.joiners) > 0 || len(p.leaving) > 0 {
+		p.urgent = false
+		return true
+	}
+	for _, m := range c.cell.Members {
+		if lost, _ := c.lost(m.ID); lost || c.contact.Claims(c.now, m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // planControllers names controllers for targets that have none or whose
 // controller is lost or leaving, and removes those of targets that are gone.
 func (c *Core) planControllers(next *Cell, due bool) (changed bool) {
--- a/ownership/plan_partitions.go
+++ b/ownership/plan_partitions.go
@@ -49,7 +49,7 @@
 		sp.states[c.cfg.Self.ID] = sp.s.newest()
 		for _, m := range c.cell.Members {
 			if _, ok := sp.states[m.ID]; !ok {
-				c.send(m.ID, AssignmentRequest{Service: sp.s.name, Recover: c.plan.term})
+				c.send(m.ID, AssignmentRequest{Service: sp.s.name, Recover: c.plan.term, Have: sp.s.highest()})
 			}
 		}
 	}
--- a/ownership/planner.go
+++ b/ownership/planner.go
@@ -16,6 +16,7 @@
 	joiners    []joiner
 	leaving    map[string]bool
 	removedAt  lease.Instant
+	urgent     bool // a controller needs another term
 }
 
 // joiner is a process that asked to join.
@@ -164,6 +165,7 @@
 		old = unknownTarget
 	}
 	c.plan.targets[m.Target] = i
+	c.plan.urgent = c.plan.urgent || m.SeenTerm > m.Term
 	if old.state != i.state || old.draining != i.draining || len(i.released) > 0 || i.state == TargetLapsed || old.version != i.version {
 		if sp := c.plan.services[serviceOf(m.Target)]; sp != nil {
 			sp.due = c.now
