Add audit trail in bounded store objects

Cause: operators must see who changed what, and instances keep nothing on disk. Change: internal/audit buffers entries with a bound and appends batches to the newest object of the cell's trail by conditional update, at most one write a second. A batch stays unchanged until its outcome is certain, so a lost reply duplicates nothing; dropped and late entries are entries themselves. Read filters by time, service, key and event. Conclusion: entries survive lost replies exactly once while the instance lives; its unwritten buffer is lost with it.

--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,234 @@
+package audit
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+	"gopkg.in/tomb.v2"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/platform/memory"
+)
+
+func TestAudit(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "audit")
+}
+
+func open(store platform.Store, instance string, change func(*Config)) *Trail {
+	ginkgo.GinkgoHelper()
+	cfg := Config{Store: store, Trail: "c1", Instance: instance, Incarnation: "x", ObjectBytes: minObjectBytes}
+	if change != nil {
+		change(&cfg)
+	}
+	t, err := New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	return t
+}
+
+func ids(entries []Entry) (list []string) {
+	for _, e := range entries {
+		list = append(list, e.ID)
+	}
+	return list
+}
+
+var _ = ginkgo.Describe("trail", func() {
+	ginkgo.BeforeEach(func() {
+		known := goleak.IgnoreCurrent()
+		ginkgo.DeferCleanup(func() { Eventually(func() error { return goleak.Find(known) }).Should(Succeed()) })
+	})
+
+	ginkgo.It("writes each entry once and in order, whatever the store does and however often instances conflict", func(ctx ginkgo.SpecContext) {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			store := memory.New(memory.Options{})
+			trails := []*Trail{open(store, "a", nil), open(store, "b", nil)}
+			added := map[string][]string{}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				store.SetFaults(memory.Faults{
+					Down:        rapid.IntRange(0, 3).Draw(t, "down") == 0,
+					LoseReplies: rapid.IntRange(0, 2).Draw(t, "lose") == 0,
+					StaleReads:  rapid.Bool().Draw(t, "stale"),
+				})
+				trail := trails[rapid.IntRange(0, 1).Draw(t, "instance")]
+				for range rapid.IntRange(0, 3).Draw(t, "entries") {
+					trail.Add(Entry{Event: "e", Diff: strings.Repeat("d", rapid.IntRange(0, maxDiffBytes).Draw(t, "size"))})
+					id := fmt.Sprintf("%s/x/%d", trail.cfg.Instance, len(added[trail.cfg.Instance])+1)
+					added[trail.cfg.Instance] = append(added[trail.cfg.Instance], id)
+				}
+				_, _ = trail.writer.step(ctx)
+			}
+			store.SetFaults(memory.Faults{})
+			for _, trail := range trails {
+				for i := 0; trail.writer.pending(); i++ {
+					NewWithT(t).Expect(i).To(BeNumerically("<", 500), "no progress")
+					_, err := trail.writer.step(ctx)
+					NewWithT(t).Expect(err).NotTo(HaveOccurred())
+				}
+			}
+			found := map[string][]string{}
+			objects, _, _ := store.List(ctx, Kind)
+			for i, o := range objects {
+				NewWithT(t).Expect(len(o.Value)).To(BeNumerically("<=", minObjectBytes))
+				for _, e := range parse(o, uint64(i)) {
+					found[e.Instance] = append(found[e.Instance], e.ID)
+				}
+			}
+			for instance, want := range added {
+				NewWithT(t).Expect(found[instance]).To(Equal(want))
+			}
+		})
+	})
+
+	ginkgo.It("keeps a bounded number of objects and goes on after its object was removed by another instance", func(ctx ginkgo.SpecContext) {
+		store := memory.New(memory.Options{})
+		few := func(c *Config) { c.Objects = 3 }
+		idle, busy := open(store, "a", few), open(store, "b", few)
+		idle.Add(Entry{Event: "first"})
+		_, err := idle.writer.step(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		for range 40 {
+			busy.Add(Entry{Event: "e", Diff: strings.Repeat("d", maxDiffBytes)})
+		}
+		for busy.writer.pending() {
+			before := store.Counts().Writes()
+			_, err := busy.writer.step(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.Counts().Writes()-before).To(BeNumerically("<=", 1), "one write a step")
+			objects, _, err := store.List(ctx, Kind)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(objects)).To(BeNumerically("<=", 4))
+		}
+		idle.Add(Entry{Event: "last"})
+		for idle.writer.pending() {
+			_, err = idle.writer.step(ctx)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(Read(ctx, store, "c1", Filter{Event: "last"})).To(HaveLen(1))
+	})
+
+	ginkgo.It("enters what was dropped and what was late, so that a gap is visible", func(ctx ginkgo.SpecContext) {
+		clock := clockwork.NewFakeClock()
+		store := memory.New(memory.Options{Faults: memory.Faults{Down: true}})
+		trail := open(store, "a", func(c *Config) { c.Buffered = 2; c.Clock = clock })
+		for range 5 {
+			trail.Add(Entry{Event: "e"})
+		}
+		trail.step()
+		clock.Advance(delayedAfter)
+		trail.step()
+		store.SetFaults(memory.Faults{})
+		for trail.writer.pending() {
+			trail.step()
+		}
+		got, err := Read(ctx, store, "c1", Filter{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ids(got)).To(Equal([]string{"a/x/4", "a/x/3", "a/x/2", "a/x/1"}))
+		Expect(got[0].Event).To(Equal(EventDelayed))
+		Expect(got[0].Cause).To(ContainSubstring("unavailable"))
+		Expect(got[1].Event).To(Equal(EventGap))
+		Expect(got[1].Fields).To(HaveKeyWithValue("dropped", "3"))
+		Expect(got[3].Written.Sub(got[3].Time)).To(Equal(delayedAfter))
+	})
+
+	ginkgo.It("writes at most once a second and flushes at the stop", func(ctx ginkgo.SpecContext) {
+		clock := clockwork.NewFakeClock()
+		store := memory.New(memory.Options{})
+		trail := open(store, "a", func(c *Config) { c.Clock = clock })
+		var tb tomb.Tomb
+		tb.Go(func() error { return trail.Run(&tb) })
+		trail.Add(Entry{Event: "e"})
+		Eventually(func() int64 { return store.Counts().Writes() }).Should(BeEquivalentTo(1))
+		trail.Add(Entry{Event: "e"})
+		Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed())
+		Expect(store.Counts().Writes()).To(BeEquivalentTo(1))
+		clock.Advance(writeInterval)
+		Eventually(func() int64 { return store.Counts().Writes() }).Should(BeEquivalentTo(2))
+		trail.Add(Entry{Event: "e"})
+		Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed())
+		tb.Kill(nil)
+		// The wait of the running loop ends with the tomb; the wait before the last write is left.
+		Eventually(func() bool { clock.Advance(writeInterval); return !tb.Alive() && store.Counts().Writes() == 3 }).Should(BeTrue())
+		Expect(tb.Wait()).To(Succeed())
+		Expect(Read(ctx, store, "c1", Filter{})).To(HaveLen(3))
+	})
+
+	ginkgo.It("gives up at the stop while the store is down instead of holding up the stop", func() {
+		clock := clockwork.NewFakeClock()
+		trail := open(memory.New(memory.Options{Faults: memory.Faults{Down: true}}), "a", func(c *Config) { c.Clock = clock })
+		trail.Add(Entry{Event: "e"})
+		done := make(chan struct{})
+		go func() { trail.finish(); close(done) }()
+		Eventually(func() bool {
+			clock.Advance(writeInterval)
+			select {
+			case <-done:
+				return true
+			default:
+				return false
+			}
+		}).Should(BeTrue())
+	})
+})
+
+var _ = ginkgo.Describe("entries", func() {
+	ginkgo.It("take known fields of records and return them all", func() {
+		e := FromRecord(ownership.Record{Event: "partition.moved", Fields: []any{
+			"target", "route/r1", "partition", 7, "epoch", uint64(4294967299), "cause", "weight", "from", "r2",
+		}})
+		partition := 7
+		Expect(e).To(Equal(Entry{
+			Event: "partition.moved", Service: "route", Partition: &partition, Epoch: 4294967299, Cause: "weight",
+			Fields: map[string]string{"target": "route/r1", "from": "r2"},
+		}))
+		Expect(e.AllFields()).To(HaveLen(6))
+		Expect(FromFields("anna", "table.accepted", map[string]string{"version": "12"}).TableVersion).To(BeEquivalentTo(12))
+	})
+
+	ginkgo.It("always fit into an object, whatever text they are given", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			text := func() string { return strings.Repeat(rapid.StringN(0, 4, -1).Draw(t, "text"), 10_000) }
+			e := Entry{Event: text(), Cause: text(), Key: text(), Diff: text(), Fields: map[string]string{text(): text()}}
+			e.bound()
+			NewWithT(t).Expect(len(e.line())).To(BeNumerically("<=", minObjectBytes))
+		})
+	})
+
+	ginkgo.It("are found by service, key, event and time, newest first and page by page", func(ctx ginkgo.SpecContext) {
+		store := memory.New(memory.Options{})
+		trail := open(store, "a", nil)
+		start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		for i := range 4 {
+			trail.Add(Entry{
+				Time: start.Add(time.Duration(i) * time.Hour), Event: []string{"moved", "accepted"}[i%2],
+				Service: []string{"route", "map"}[i/2], Key: fmt.Sprint("k", i),
+			})
+		}
+		trail.step()
+		_, err := store.Create(ctx, platform.Object{Kind: Kind, Name: objectName("c1", 9), Value: []byte("{\n")})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Create(ctx, platform.Object{Kind: Kind, Name: "c1.note"})
+		Expect(err).NotTo(HaveOccurred())
+		read := func(f Filter) []Entry {
+			ginkgo.GinkgoHelper()
+			got, err := Read(context.Background(), store, "c1", f)
+			Expect(err).NotTo(HaveOccurred())
+			return got
+		}
+		Expect(ids(read(Filter{Service: "map"}))).To(Equal([]string{"a/x/4", "a/x/3"}))
+		Expect(ids(read(Filter{Event: "moved", Since: start.Add(time.Hour)}))).To(Equal([]string{"a/x/3"}))
+		Expect(ids(read(Filter{Key: "k0"}))).To(Equal([]string{"a/x/1"}))
+		newest := read(Filter{Limit: 2})
+		Expect(newest[0].Event).To(Equal(EventUnreadable))
+		Expect(ids(read(Filter{Before: newest[1].Sequence, Limit: 2}))).To(Equal([]string{"a/x/3", "a/x/2"}))
+	})
+})
--- /dev/null
+++ b/internal/audit/read.go
@@ -0,0 +1,77 @@
+package audit
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/boragegate/boragegate/platform"
+)
+
+// entriesPerObject is larger than the number of lines that fit into an object;
+// it separates the sequences of entries in different objects.
+const entriesPerObject = 1 << 16
+
+// Filter selects entries. Zero fields select all.
+type Filter struct {
+	// Since excludes entries of changes before that time.
+	Since time.Time
+	// Before excludes entries with that sequence or a higher one.
+	Before  uint64
+	Service string
+	Key     string
+	Event   string
+	// Limit bounds the result.
+	Limit int
+}
+
+func (f Filter) matches(e Entry) bool {
+	return !e.Time.Before(f.Since) &&
+		(f.Before == 0 || e.Sequence < f.Before) &&
+		(f.Service == "" || e.Service == f.Service) &&
+		(f.Key == "" || e.Key == f.Key) &&
+		(f.Event == "" || e.Event == f.Event)
+}
+
+// Read returns the entries of a trail that the filter selects, newest first. It
+// makes one store call. A line that is not an entry is shown as EventUnreadable.
+func Read(ctx context.Context, store platform.Store, trail string, f Filter) ([]Entry, error) {
+	objects, _, err := store.List(ctx, Kind)
+	if err != nil {
+		return nil, fmt.Errorf("read audit trail: %w", err)
+	}
+	var selected []Entry
+	for _, o := range slices.Backward(objects) {
+		sequence, ok := parseName(trail, o.Name)
+		if !ok {
+			continue
+		}
+		for _, e := range slices.Backward(parse(o, sequence)) {
+			if f.Limit > 0 && len(selected) == f.Limit {
+				return selected, nil
+			}
+			if f.matches(e) {
+				selected = append(selected, e)
+			}
+		}
+	}
+	return selected, nil
+}
+
+// parse returns the entries of an object in order.
+func parse(o platform.Object, sequence uint64) []Entry {
+	var entries []Entry
+	for line := range bytes.Lines(o.Value) {
+		n := len(entries)
+		var e Entry
+		if json.Unmarshal(line, &e) != nil {
+			e = Entry{Event: EventUnreadable, Cause: fmt.Sprintf("%s line %d", o.Name, n+1)}
+		}
+		e.Sequence = sequence*entriesPerObject + uint64(n) //nolint:gosec // not negative
+		entries = append(entries, e)
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/audit/writer.go
@@ -0,0 +1,236 @@
+package audit
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/boragegate/boragegate/platform"
+)
+
+// Kind is the kind of the trail's objects. Their names are "<trail>.<sequence>".
+const Kind = "audit"
+
+// sequenceDigits makes names sort by sequence.
+const sequenceDigits = 12
+
+func objectName(trail string, sequence uint64) string {
+	return fmt.Sprintf("%s.%0*d", trail, sequenceDigits, sequence)
+}
+
+func parseName(trail, name string) (sequence uint64, ok bool) {
+	digits, ok := strings.CutPrefix(name, trail+".")
+	if !ok || len(digits) != sequenceDigits {
+		return 0, false
+	}
+	sequence, err := strconv.ParseUint(digits, 10, 64)
+	return sequence, err == nil
+}
+
+// writer is the state of the trail's goroutine: the newest object as far as
+// known, and the batch whose outcome is open. Each step makes at most one write.
+type writer struct {
+	store      platform.Store
+	trail      string
+	maxBytes   int
+	maxObjects uint64
+	buffer     *buffer
+	now        func() time.Time
+
+	// located says that sequence, current and oldest are known.
+	located  bool
+	sequence uint64
+	// current is the object to append to; its Version is 0 if it does not exist yet.
+	current platform.Object
+	// oldest is the lowest sequence that may still exist.
+	oldest uint64
+	// batch is kept unchanged, on the same object at the same version, until its
+	// outcome is certain. So a write that took effect without a reply cannot be
+	// repeated: its repetition conflicts, and the object then shows the batch.
+	batch []Entry
+	// reread says that current must be read again before the next write.
+	reread bool
+}
+
+func (w *writer) pending() bool {
+	return len(w.batch) > 0 || !w.buffer.empty() || w.prunable()
+}
+
+// prunable says that the bound on objects is exceeded.
+func (w *writer) prunable() bool {
+	return w.located && w.current.Version != 0 && w.oldest+w.maxObjects <= w.sequence
+}
+
+// step makes the next write, if one is needed. It returns the number of entries
+// that are known to be written since the last step.
+func (w *writer) step(ctx context.Context) (written int, err error) {
+	if !w.located {
+		if err := w.locate(ctx); err != nil {
+			return 0, err
+		}
+	}
+	if w.reread {
+		n, err := w.read(ctx)
+		return n, err
+	}
+	if len(w.batch) == 0 && w.prunable() {
+		return 0, w.prune(ctx)
+	}
+	if len(w.batch) == 0 {
+		if err := w.nextBatch(ctx); err != nil || len(w.batch) == 0 {
+			return 0, err
+		}
+	}
+	return w.write(ctx)
+}
+
+// locate finds the newest and the oldest object of the trail.
+func (w *writer) locate(ctx context.Context) error {
+	objects, _, err := w.store.List(ctx, Kind)
+	if err != nil {
+		return err
+	}
+	w.sequence, w.oldest, w.current = 1, 1, platform.Object{}
+	found := false
+	for _, o := range objects { // in order of name
+		sequence, ok := parseName(w.trail, o.Name)
+		if !ok {
+			continue
+		}
+		if !found {
+			w.oldest, found = sequence, true
+		}
+		w.sequence, w.current = sequence, o
+	}
+	w.located = true
+	return nil
+}
+
+// nextBatch takes the entries that fit into the current object, and goes on to
+// the next object when none fits.
+func (w *writer) nextBatch(ctx context.Context) error {
+	for {
+		w.batch = w.buffer.take(w.maxBytes - len(w.current.Value))
+		if len(w.batch) > 0 || w.buffer.empty() {
+			return nil
+		}
+		next, err := w.store.Get(ctx, Kind, objectName(w.trail, w.sequence+1))
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+		w.sequence++
+		w.current = next
+	}
+}
+
+// write appends the batch to the current object.
+func (w *writer) write(ctx context.Context) (int, error) {
+	obj := platform.Object{
+		Kind: Kind, Name: objectName(w.trail, w.sequence), Version: w.current.Version,
+		Writer: uuid.NewString(), Value: bytes.Clone(w.current.Value),
+	}
+	for i := range w.batch {
+		w.batch[i].Written = w.now()
+		obj.Value = append(obj.Value, w.batch[i].line()...)
+	}
+	call := w.store.Update
+	if obj.Version == 0 {
+		call = w.store.Create
+	}
+	got, err := call(ctx, obj)
+	switch {
+	case err == nil:
+		w.current = got
+		return w.done(), nil
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists):
+		w.reread = true
+		return 0, nil
+	case errors.Is(err, platform.ErrNotFound):
+		// Another instance removed the object because the trail went on.
+		w.located = false
+		w.notWritten()
+		return 0, nil
+	}
+	return 0, err
+}
+
+// read reads the current object after a conflict and tells whether the batch is in it.
+func (w *writer) read(ctx context.Context) (int, error) {
+	got, err := w.store.Get(ctx, Kind, objectName(w.trail, w.sequence))
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, w.missing(ctx)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if got.Version <= w.current.Version {
+		return 0, fmt.Errorf("read %s at version %d after a conflict at %d: %w", got.Name, got.Version, w.current.Version, platform.ErrUnavailable)
+	}
+	w.current, w.reread = got, false
+	// A batch is written as a whole, so its first entry stands for all. The ID in
+	// quotes cannot occur in a text, where quotes are escaped.
+	id, err := json.Marshal(w.batch[0].ID)
+	if err != nil {
+		return 0, err
+	}
+	if bytes.Contains(got.Value, id) {
+		return w.done(), nil
+	}
+	w.notWritten()
+	return 0, nil
+}
+
+// missing handles a current object that a read does not show. Objects are
+// started in order, so it was removed if a later one exists without it;
+// otherwise the read was stale.
+func (w *writer) missing(ctx context.Context) error {
+	objects, _, err := w.store.List(ctx, Kind)
+	if err != nil {
+		return err
+	}
+	later := false
+	for _, o := range objects {
+		if sequence, ok := parseName(w.trail, o.Name); ok && sequence >= w.sequence {
+			later = sequence > w.sequence
+			break
+		}
+	}
+	if !later {
+		return fmt.Errorf("%s is missing after a conflict: %w", objectName(w.trail, w.sequence), platform.ErrUnavailable)
+	}
+	w.reread, w.located = false, false
+	w.notWritten()
+	return nil
+}
+
+func (w *writer) done() int {
+	n := len(w.batch)
+	w.batch = nil
+	return n
+}
+
+func (w *writer) notWritten() {
+	w.buffer.putBack(w.batch)
+	w.batch = nil
+}
+
+// prune removes the oldest object.
+func (w *writer) prune(ctx context.Context) error {
+	name := objectName(w.trail, w.oldest)
+	obj, err := w.store.Get(ctx, Kind, name)
+	if err == nil {
+		err = w.store.Delete(ctx, Kind, name, obj.Version)
+	}
+	if err == nil || errors.Is(err, platform.ErrNotFound) {
+		w.oldest++
+		return nil
+	}
+	return err
+}
