--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -21,6 +21,14 @@
 	acceptPause = 50 * time.Millisecond
 )
 
+// session is one incoming connection.
+type session struct {
+	// peer is the authenticated ID, empty before the hello. Guarded by Transport.mu.
+	peer string
+	// done is closed when nothing more is delivered.
+	done chan struct{}
+}
+
 func (t *Transport) accept() error {
 	for {
 		conn, err := t.listener.Accept()
@@ -56,7 +64,7 @@
 		_ = conn.Close()
 		return false
 	}
-	t.inbound[conn] = ""
+	t.inbound[conn] = &session{done: make(chan struct{})}
 	return true
 }
 
@@ -64,20 +72,26 @@
 	_ = conn.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	close(t.inbound[conn].done)
 	delete(t.inbound, conn)
 }
 
 // replace closes an older connection of the same peer, which a partition or a
-// restart may have left half open.
+// restart may have left half open, and waits until it delivers nothing more.
 func (t *Transport) replace(conn net.Conn, from string) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	for other, id := range t.inbound {
-		if id == from {
+	var older []*session
+	for other, s := range t.inbound {
+		if s.peer == from {
 			_ = other.Close()
+			older = append(older, s)
 		}
 	}
-	t.inbound[conn] = from
+	t.inbound[conn].peer = from
+	t.mu.Unlock()
+	for _, s := range older {
+		<-s.done
+	}
 }
 
 // receive serves one incoming connection until it ends.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -17,6 +17,8 @@
 	// wait is below the time in which a returning peer should be in contact again.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
+	// maxDoublings is enough to reach maxBackoff.
+	maxDoublings = 5
 	// writeTimeout ends a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
 	// idleAfter closes a connection without messages, for example to a former member.
@@ -35,6 +37,9 @@
 	id    string
 	queue *queue
 
+	// failures counts the connections that failed since the last hello.
+	failures int
+
 	mu      sync.Mutex
 	address string
 	// moved receives when the address changed.
@@ -70,11 +75,10 @@
 
 // run connects while there is something to send, until the transport stops or the link is idle.
 func (l *link) run() error {
-	backoff := minBackoff
 	for l.t.tomb.Alive() {
 		conn, err := l.connect()
 		if err == nil {
-			backoff = minBackoff
+			l.failures = 0
 			err = l.serve(conn)
 		} else {
 			l.t.count("connect_errors", 1)
@@ -82,15 +86,23 @@
 		if errors.Is(err, errIdle) && l.retire() {
 			return nil
 		}
-		if !errors.Is(err, errIdle) && !errors.Is(err, errNewAddress) && l.t.tomb.Alive() {
-			l.t.report(l.id, "peer connection lost", err)
-			l.t.pause(jitter(backoff))
-			backoff = min(2*backoff, maxBackoff)
+		if !errors.Is(err, errIdle) && !errors.Is(err, errNewAddress) {
+			l.retryLater(err)
 		}
 	}
 	return nil
 }
 
+// retryLater waits before the next attempt. Only the first failure in a row is logged.
+func (l *link) retryLater(err error) {
+	if l.failures == 0 && l.t.tomb.Alive() {
+		l.t.report(l.id, "peer connection lost", err)
+	}
+	backoff := min(minBackoff<<min(l.failures, maxDoublings), maxBackoff)
+	l.failures++
+	l.t.pause(jitter(backoff))
+}
+
 // jitter returns a random time between half and all of d, so that instances do
 // not reconnect to a restarted peer at the same moment.
 func jitter(d time.Duration) time.Duration {
@@ -173,7 +185,7 @@
 		return true
 	}
 	for {
-		frame, ok := l.queue.next(mayLow)
+		frame, ok := l.queue.next(time.Now(), mayLow)
 		if !ok {
 			break
 		}
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 const (
@@ -10,11 +11,16 @@
 	maxQueued = 256
 	// maxQueuedBytes bounds their size; it holds a few of the largest frames.
 	maxQueuedBytes = 4 << 20
+	// maxUrgentAge is the age at which an urgent frame is dropped instead of sent:
+	// orders and reports from before a long partition describe a past state. Low
+	// frames may wait longer, for their byte budget.
+	maxUrgentAge = 5 * time.Second
 )
 
 type queued struct {
 	kind  byte
 	frame []byte
+	at    time.Time
 }
 
 // queue holds the frames for one peer in two priorities. It is safe for
@@ -34,8 +40,7 @@
 // put adds a frame. A message type of which only the latest counts replaces a
 // queued one. When the queue is full, the oldest low message is dropped, or the
 // oldest urgent one if there is no low one.
-func (q *queue) put(kind byte, frame []byte) {
-	t := messageTypes[kind]
+func (q *queue) put(now time.Time, kind byte, t messageType, frame []byte) {
 	q.mu.Lock()
 	list := &q.lists[t.priority]
 	if t.latest {
@@ -46,7 +51,7 @@
 			return m.kind == kind
 		})
 	}
-	*list = append(*list, queued{kind, frame})
+	*list = append(*list, queued{kind, frame, now})
 	q.bytes += len(frame)
 	for q.size() > maxQueued || q.bytes > maxQueuedBytes {
 		q.dropOldest()
@@ -77,10 +82,15 @@
 	return f
 }
 
-// next takes the oldest urgent frame, or the oldest low frame if mayLow allows its size.
-func (q *queue) next(mayLow func(bytes int) bool) ([]byte, bool) {
+// next takes the oldest urgent frame that is not too old, or the oldest low
+// frame if mayLow allows its size.
+func (q *queue) next(now time.Time, mayLow func(bytes int) bool) ([]byte, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for len(q.lists[urgent]) > 0 && now.Sub(q.lists[urgent][0].at) > maxUrgentAge {
+		q.remove(urgent)
+		q.onDrop(urgent)
+	}
 	if len(q.lists[urgent]) > 0 {
 		return q.remove(urgent), true
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -1,6 +1,6 @@
 // Package peer carries control messages between instances: frames with msgpack
-// bodies over one outgoing TCP connection per peer. Delivery is not guaranteed;
-// messages to one peer arrive in order within a priority, late ones included.
+// bodies over one outgoing TCP connection per peer. Messages may be lost;
+// those that arrive from one peer arrive in the order of their priority's queue.
 //
 // Send only queues. One goroutine per peer connects and writes, one per
 // incoming connection reads and calls Deliver.
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -67,10 +68,9 @@
 	logs     *rate.Limiter
 	tomb     tomb.Tomb
 
-	mu    sync.Mutex
-	links map[string]*link
-	// inbound has the open incoming connections, with the peer's ID once known.
-	inbound map[net.Conn]string
+	mu      sync.Mutex
+	links   map[string]*link
+	inbound map[net.Conn]*session
 }
 
 // New starts listening.
@@ -83,7 +83,7 @@
 		budget:  newBudget(cfg.LowRate, cfg.LowBurst),
 		logs:    rate.NewLimiter(logRate, logBurst),
 		links:   map[string]*link{},
-		inbound: map[net.Conn]string{},
+		inbound: map[net.Conn]*session{},
 	}
 	var err error
 	if !cfg.Plain {
@@ -144,7 +144,7 @@
 		t.tomb.Go(l.run)
 	}
 	l.setAddress(to.PeerAddress)
-	l.queue.put(kind, frame)
+	l.queue.put(time.Now(), kind, messageTypes[kind], frame)
 }
 
 // Close ends all connections and waits for the goroutines.
