--- a/cmd/boragegated/main.go
+++ b/cmd/boragegated/main.go
@@ -9,22 +9,26 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/boragegate/boragegate/internal/cli"
+	"github.com/boragegate/boragegate/internal/daemon"
 	"github.com/boragegate/boragegate/internal/demo"
 )
 
+// version is set at build time.
+var version = "devel"
+
 func main() { os.Exit(run()) }
 
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{
-		Use:          "boragegated",
-		Short:        "Router for servers that own keys exclusively",
-		SilenceUsage: true,
-	}
-	root.AddCommand(demo.Command())
-	if err := root.ExecuteContext(ctx); err != nil {
-		return 1
+		Use:           "boragegated",
+		Short:         "Router for servers that own keys exclusively",
+		SilenceUsage:  true,
+		SilenceErrors: true,
 	}
-	return 0
+	root.AddCommand(daemon.Command(version), demo.Command(), cli.NewDaemonCheck(daemon.SettingsOptions()))
+	root.SetContext(ctx)
+	return cli.Execute(root)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/boragegate/boragegate/internal/operator"
 	"github.com/boragegate/boragegate/internal/peer"
 	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/internal/standard"
 	"github.com/boragegate/boragegate/internal/tablesync"
 	"github.com/boragegate/boragegate/ownership"
 	"github.com/boragegate/boragegate/placement"
@@ -59,6 +60,11 @@
 	// Plain turns authentication between instances off; otherwise Keys is used.
 	Plain bool
 	Keys  mtls.Files
+	// CallerKeys and OperatorKeys turn TLS on for those listeners. With an
+	// authority, the other side must show a certificate of it.
+	CallerKeys, OperatorKeys mtls.Files
+	// Policy makes placement policies.
+	Policy standard.PolicyMaker
 	// BalancerDelay is the time between failing the readiness check and the
 	// hand-over at a planned stop, in which the balancer takes notice.
 	BalancerDelay time.Duration
@@ -87,10 +93,14 @@
 	runner   *control.Runner
 	follower *tablesync.Follower
 	servers  *backend.Client
-	keys     *mtls.Material
-	lists    listeners
-	tables   *tablestore.Tables
-	started  time.Time
+	keys     *mtls.Material // nil in plain mode, like the next two
+
+	callerKeys   *mtls.Material
+	operatorKeys *mtls.Material
+
+	lists   listeners
+	tables  *tablestore.Tables
+	started time.Time
 
 	t        tomb.Tomb
 	stopping atomic.Bool
@@ -110,15 +120,21 @@
 
 // open binds the listeners, so that their addresses are known.
 func (i *Instance) open() error {
-	var err error
-	if !i.opts.Plain {
-		if i.keys, err = mtls.Load(i.opts.Keys); err != nil {
+	for to, files := range map[**mtls.Material]mtls.Files{
+		&i.keys: i.opts.Keys, &i.callerKeys: i.opts.CallerKeys, &i.operatorKeys: i.opts.OperatorKeys,
+	} {
+		if files == (mtls.Files{}) {
+			continue
+		}
+		var err error
+		if *to, err = mtls.Load(files); err != nil {
 			return err
 		}
 	}
 	if err := i.lists.open(i.opts.Listen); err != nil {
 		return err
 	}
+	var err error
 	i.peers, err = peer.New(peer.Config{
 		Self: i.opts.ID, Cell: i.opts.Cell, Listen: i.opts.Listen.Peer,
 		Plain: i.opts.Plain, TLS: i.opts.Keys,
@@ -132,7 +148,7 @@
 	cfg.Cell = i.opts.Cell
 	cfg.Incarnation = uuid.NewString()
 	cfg.Self = i.self()
-	cfg.NewPolicy = func(string) placement.Policy { return placement.NewWeighted(placement.Settings{}) }
+	cfg.NewPolicy = func(string) placement.Policy { return i.opts.Policy.NewPolicy() }
 	i.runner = control.New(control.Config{
 		Core: cfg, Store: i.opts.Store, Servers: i.servers, Peers: i.peers,
 		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
@@ -213,9 +229,9 @@
 		i.t.Go(i.probe)
 		i.t.Go(i.reportLoad)
 		i.t.Go(i.transferRecords)
-		i.serve(i.lists.caller, i.gateway.CallerHandler())
-		i.serve(i.lists.operator, i.operatorHandler())
-		i.serve(i.secure(i.lists.forward), i.gateway.ForwardHandler())
+		i.serve(encrypt(i.lists.caller, i.callerKeys), i.gateway.CallerHandler())
+		i.serve(encrypt(i.lists.operator, i.operatorKeys), i.operatorHandler())
+		i.serve(encrypt(i.lists.forward, i.keys), i.gateway.ForwardHandler())
 		return nil
 	})
 	return nil
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/boragegate/boragegate/internal/gateway"
+	"github.com/boragegate/boragegate/internal/mtls"
 )
 
 // forwardConnections bounds the idle connections to each other instance.
@@ -66,12 +67,12 @@
 	}
 }
 
-// secure wraps a listener with mutual TLS unless the instance runs in plain mode.
-func (i *Instance) secure(ln net.Listener) net.Listener {
-	if i.keys == nil {
+// encrypt wraps a listener with TLS if there are keys for it.
+func encrypt(ln net.Listener, keys *mtls.Material) net.Listener {
+	if keys == nil {
 		return ln
 	}
-	return tls.NewListener(ln, i.keys.ServerConfig())
+	return tls.NewListener(ln, keys.ServerConfig())
 }
 
 func (i *Instance) forwardScheme() string {
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -8,8 +8,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/boragegate/boragegate"
 	"github.com/boragegate/boragegate/examples/backend/server"
 	"github.com/boragegate/boragegate/internal/daemon"
+	"github.com/boragegate/boragegate/internal/standard"
 	"github.com/boragegate/boragegate/placement"
 	"github.com/boragegate/boragegate/platform/memory"
 	"github.com/boragegate/boragegate/table"
@@ -34,6 +36,7 @@
 // cluster is the demo's system: an embedded store, instances and sample servers.
 type cluster struct {
 	store     *memory.Store
+	policy    standard.PolicyMaker
 	tables    *tablestore.Tables
 	instances []*daemon.Instance
 	servers   map[string]*server.Server
@@ -43,6 +46,10 @@
 
 func startCluster(ctx context.Context, logger zerolog.Logger) (*cluster, error) {
 	c := &cluster{store: memory.New(memory.Options{}), servers: map[string]*server.Server{}}
+	var err error
+	if c.policy, err = boragegate.LoadAs[standard.PolicyMaker](ctx, standard.DefaultPlacement, nil); err != nil {
+		return c, err
+	}
 	c.tables = tablestore.New(c.store, tablestore.Options{})
 	if err := c.startServers(); err != nil {
 		return c, err
@@ -105,7 +112,7 @@
 	in, err := daemon.New(daemon.Options{
 		ID: fmt.Sprintf("instance-%d", n+1), Zone: zones[n], Cell: demoCell,
 		Listen: daemon.Addresses{Caller: loopback, Peer: loopback, Forward: loopback, Operator: loopback},
-		Store:  c.store, Plain: true, Logger: logger,
+		Store:  c.store, Plain: true, Logger: logger, Policy: c.policy,
 	})
 	if err != nil {
 		return eris.Wrap(err, "start instance")
--- a/internal/mtls/mtls.go
+++ b/internal/mtls/mtls.go
@@ -22,7 +22,8 @@
 	Certificate string `json:"certificate"`
 	// Key has the private key of the leaf.
 	Key string `json:"key"`
-	// Authority has the certificates that may sign instances.
+	// Authority has the certificates that may sign instances. Without it, a
+	// listener takes connections without a certificate.
 	Authority string `json:"authority"`
 }
 
@@ -73,6 +74,9 @@
 func (m *Material) refresh() {
 	var times [3]time.Time
 	for i, name := range []string{m.files.Certificate, m.files.Key, m.files.Authority} {
+		if name == "" {
+			continue
+		}
 		info, err := os.Stat(name)
 		if err != nil {
 			m.err = fmt.Errorf("key material: %w", err)
@@ -94,6 +98,9 @@
 	if err != nil {
 		return loaded{}, fmt.Errorf("key material: %w", err)
 	}
+	if f.Authority == "" {
+		return loaded{certificate: certificate}, nil
+	}
 	pem, err := os.ReadFile(f.Authority)
 	if err != nil {
 		return loaded{}, fmt.Errorf("key material: %w", err)
@@ -105,21 +112,24 @@
 	return loaded{certificate, pool}, nil
 }
 
-// ServerConfig returns the configuration of a listener that requires a
-// certificate of the authority. The caller compares the identity with Names.
+// ServerConfig returns the configuration of a listener. If there is an authority,
+// the listener requires a certificate of it; the caller compares the identity
+// with Names.
 func (m *Material) ServerConfig() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			now := m.get()
-			return &tls.Config{
+			c := &tls.Config{
 				MinVersion:   tls.VersionTLS13,
 				Certificates: []tls.Certificate{now.certificate},
-				ClientAuth:   tls.RequireAndVerifyClientCert,
-				ClientCAs:    now.authority,
 				// A resumed session would keep using replaced key material.
 				SessionTicketsDisabled: true,
-			}, nil
+			}
+			if now.authority != nil {
+				c.ClientAuth, c.ClientCAs = tls.RequireAndVerifyClientCert, now.authority
+			}
+			return c, nil
 		},
 	}
 }
