Let instances join a cell before there is a table

Cause: the planner did nothing without a table, so the second instance never joined; no instance but the first was in contact, and it could not be known that a majority had seen a change. Change: members are planned without a table; controllers are left as they are until a table is known.

--- a/ownership/plan_cell.go
+++ b/ownership/plan_cell.go
@@ -39,8 +39,12 @@
 }
 
 // planControllers names controllers for targets that have none or whose
-// controller is lost or leaving, and removes those of targets that are gone.
+// controller is lost or leaving, and removes those of targets that are gone. Without
+// a table nothing is known of the targets, so their controllers stay as they are.
 func (c *Core) planControllers(next *Cell, due bool) (changed bool) {
+	if c.table == nil {
+		return false
+	}
 	can, lost := c.candidates(next)
 	if len(can) == 0 {
 		return false
--- a/ownership/planner.go
+++ b/ownership/planner.go
@@ -60,7 +60,7 @@
 
 // advancePlanner does what is due for the cell, if this instance plans and is in contact.
 func (c *Core) advancePlanner() {
-	if c.plan == nil || !c.inContact() || c.table == nil {
+	if c.plan == nil || !c.inContact() {
 		return
 	}
 	due := c.now >= c.plan.due
@@ -68,7 +68,7 @@
 		c.plan.due = c.now + c.cfg.PlanInterval
 	}
 	c.planCell(due)
-	if c.plan == nil {
+	if c.plan == nil || c.table == nil {
 		return
 	}
 	for _, s := range c.order {
