Wait for all targets of a new service before the first plan

Cause: in a run of separate processes the first server that answered got 243 of 256 partitions (imbalance 4.75), because the settling time counted from the start of the planner and not from the service's first plan. Change: the settling time counts from the first plan of each service.

--- a/ownership/plan_partitions.go
+++ b/ownership/plan_partitions.go
@@ -121,7 +121,10 @@
 	if !ok {
 		svc = table.Service{Name: sp.s.name}
 	}
-	targets, settled := c.policyTargets(svc, a)
+	targets, heard := c.policyTargets(svc, a)
+	// All targets of a new service count from the first plan on; without the wait
+	// the first server to answer would get every partition.
+	settled := heard || c.now >= sp.since+c.cfg.Settle
 	plan := sp.policy.Plan(placement.Input{
 		Now: c.now, Assignment: a, Targets: targets, Load: sp.load,
 		PreferStability: svc.Prefer == table.Stability, InFlight: len(sp.moving),
@@ -151,15 +154,15 @@
 }
 
 // policyTargets describes the targets of a service to its policy: those of the
-// table, then those that left it and still own partitions. settled says that
-// every target has been heard of or had the time for it.
-func (c *Core) policyTargets(svc table.Service, a *placement.Assignment) (list []placement.Target, settled bool) {
-	settled = true
+// table, then those that left it and still own partitions. heard says that
+// every target of the table has been heard of.
+func (c *Core) policyTargets(svc table.Service, a *placement.Assignment) (list []placement.Target, heard bool) {
+	heard = true
 	known := map[string]bool{}
 	for _, r := range c.table.RowsOf(svc.Name) {
 		i := c.plan.info(r.ID())
 		known[r.Target] = true
-		settled = settled && i.state != TargetUnknown
+		heard = heard && i.state != TargetUnknown
 		list = append(list, placement.Target{
 			Name: r.Target, Zone: r.Zone, Weight: r.Weight, Slots: r.Slots, Lost: i.state == TargetLapsed,
 			Leaving: r.Drain || i.draining, Usable: i.state == TargetHeld && r.Weight > 0 && !r.Drain && !i.draining,
@@ -174,7 +177,7 @@
 			Name: name, Zone: c.rows[svc.Name+"/"+name].Zone, Lost: i.state == TargetLapsed, Leaving: true,
 		})
 	}
-	return list, settled || c.now >= c.plan.since+c.cfg.Settle
+	return list, heard
 }
 
 // free reports whether a partition can be given to anybody: it has no owner, its
--- a/ownership/planner.go
+++ b/ownership/planner.go
@@ -30,6 +30,7 @@
 
 // servicePlan is the planner's state of one service.
 type servicePlan struct {
+	since  lease.Instant // when the planner began with the service
 	s      *serviceState
 	policy placement.Policy
 	change *change
@@ -75,7 +76,7 @@
 		sp := c.plan.services[s.name]
 		if sp == nil {
 			sp = &servicePlan{
-				s: s, policy: c.cfg.NewPolicy(s.name), states: map[string]*placement.Assignment{},
+				s: s, since: c.now, policy: c.cfg.NewPolicy(s.name), states: map[string]*placement.Assignment{},
 				moving: map[int]placement.Move{},
 			}
 			c.plan.services[s.name] = sp
