Add the load generator and measurements of the path

Cause: throughput, added latency and the route decision had no figures. A benchmark covers the route decision; TestMeasurePath -measure compares direct calls, two plain forwarders and two instances in one run.

--- /dev/null
+++ b/internal/gateway/measure_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/boragegate/boragegate/internal/load"
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/table"
+)
+
+// measure turns on the measurements. They depend on the machine and check no times.
+var measure = flag.Bool("measure", false, "run the measurements")
+
+type always struct{}
+
+func (always) MayForward(string, uint64) bool          { return true }
+func (always) MayRun(string, uint64, int, uint64) bool { return true }
+
+// listen serves until the end of the test.
+func listen(t testing.TB, h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String()
+}
+
+// forwarder is the plain forwarder that the gateway is compared with: it passes
+// on method, path, headers and bodies, and has no policy.
+func forwarder(next, strip string) http.Handler {
+	transport := &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u := *r.URL
+		u.Scheme, u.Host, u.Path = "http", next, u.Path[len(strip):]
+		out := (&http.Request{Method: r.Method, URL: &u, Header: r.Header, Body: r.Body, ContentLength: r.ContentLength, Host: r.Host}).WithContext(r.Context())
+		resp, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		for name, values := range resp.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	})
+}
+
+// chain returns the caller listener of an entry instance and a controller in
+// front of a server.
+func chain(t testing.TB, server string) string {
+	target := func(local bool, forward string) *route.Snapshot {
+		s := &route.Service{
+			Service:    table.Service{Name: "svc", Divided: true, Partitions: 1024, ChecksGrants: true},
+			Assignment: placement.NewAssignment("svc", 1024),
+		}
+		r := &route.Target{Local: local, ForwardAddress: forward, Ready: true, Term: 1, Row: table.Row{
+			Service: "svc", Target: "t1", Address: server, Weight: 1, Slots: 512, Connections: 512, Queue: 512,
+		}}
+		s.Targets, s.Owners, s.Assignment.Targets = []*route.Target{r}, []*route.Target{r}, []string{"t1"}
+		for p := range s.Assignment.Owner {
+			s.Assignment.Owner[p] = 0
+		}
+		return &route.Snapshot{Serving: true, Services: map[string]*route.Service{"svc": s}}
+	}
+	entry, controller := &route.Holder{}, &route.Holder{}
+	controller.Store(target(true, ""))
+	b := New(Config{Self: "b", Routes: controller, Authority: always{}})
+	entry.Store(target(false, listen(t, b.ForwardHandler())))
+	a := New(Config{Self: "a", Routes: entry, Authority: always{}})
+	return listen(t, a.CallerHandler())
+}
+
+// TestMeasurePath compares a direct call, a chain of two plain forwarders and a
+// chain of two instances, in rounds that take turns, and prints ratios.
+//
+//	go test ./internal/gateway -run TestMeasurePath -measure -v
+func TestMeasurePath(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	echo := load.Echo("t1")
+	direct := listen(t, http.StripPrefix("/svc", echo))
+	server := listen(t, echo)
+	second := listen(t, forwarder(server, "/svc"))
+	ways := []string{"direct", "forwarder", "gateway"}
+	addresses := []string{direct, listen(t, forwarder(second, "")), chain(t, server)}
+
+	const rounds, roundTime, workers = 5, 600 * time.Millisecond, 16
+	rates := make([][]float64, len(ways))
+	for range rounds {
+		for i, address := range addresses {
+			rates[i] = append(rates[i], throughput(t, address, workers, roundTime))
+		}
+	}
+	for i, way := range ways {
+		t.Logf("%-9s throughput %6.0f/s, %.2f of the forwarder's", way, median(rates[i]), median(rates[i])/median(rates[1]))
+	}
+	p50, p99 := make([][]float64, len(ways)), make([][]float64, len(ways))
+	half := median(rates[2]) / 2
+	for range rounds {
+		for i, address := range addresses {
+			res, err := load.Run(context.Background(), load.Config{
+				URLs: []string{"http://" + address}, Service: "svc", Rate: half, Duration: roundTime, Outstanding: 512,
+			}, io.Discard)
+			if err != nil || res.Mismatched+res.Broken > 0 {
+				t.Fatalf("%s: %v %+v", ways[i], err, res)
+			}
+			p50[i], p99[i] = append(p50[i], float64(res.Latency.P50)), append(p99[i], float64(res.Latency.P99))
+		}
+	}
+	for i, way := range ways {
+		t.Logf("%-9s at %.0f/s: p50 %4.0f µs (added %4.0f), p99 %5.0f µs (added %5.0f)",
+			way, half, median(p50[i]), median(p50[i])-median(p50[0]), median(p99[i]), median(p99[i])-median(p99[0]))
+	}
+}
+
+// throughput runs workers that send one request after the other.
+func throughput(t testing.TB, address string, workers int, d time.Duration) float64 {
+	transport := &http.Transport{MaxIdleConnsPerHost: workers, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	var done atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for w := range workers {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/svc/items/%d/%d", address, w, n), nil)
+				req.Header.Set(headerKey, "k")
+				resp, err := transport.RoundTrip(req)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Error("request failed: ", err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				done.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return float64(done.Load()) / d.Seconds()
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
--- /dev/null
+++ b/internal/gateway/route_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/table"
+)
+
+// targetSize is a snapshot of the size in section 2.6 of the design page.
+func targetSize() *route.Snapshot {
+	const targets, partitions = 850, 65536
+	s := &route.Service{
+		Service:    table.Service{Name: "route", Divided: true, Partitions: partitions},
+		Assignment: placement.NewAssignment("route", partitions),
+	}
+	for i := range targets {
+		t := &route.Target{Row: table.Row{Service: "route", Target: "r" + strconv.Itoa(i)}, ForwardAddress: "127.0.0.1:1"}
+		s.Targets = append(s.Targets, t)
+		s.Assignment.Targets = append(s.Assignment.Targets, t.Row.Target)
+	}
+	s.Owners = s.Targets
+	for p := range s.Assignment.Owner {
+		s.Assignment.Owner[p], s.Assignment.Epoch[p] = uint16(p%targets), 1<<32
+	}
+	return &route.Snapshot{Serving: true, Services: map[string]*route.Service{"route": s}}
+}
+
+func decide(h *route.Holder, key string) *route.Target {
+	return owner(h.Load().Services["route"], key).target
+}
+
+// BenchmarkRouteDecision measures the way from a key to its owner; the target is
+// below 150 ns.
+func BenchmarkRouteDecision(b *testing.B) {
+	var h route.Holder
+	h.Store(targetSize())
+	keys := make([]string, 4096)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("household-%06d", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if decide(&h, keys[i%len(keys)]) == nil {
+			b.Fatal("no owner")
+		}
+	}
+}
+
+var _ = Describe("route decision", func() {
+	It("does not allocate at the target size", func() {
+		// Guards against garbage in proportion to requests.
+		var h route.Holder
+		h.Store(targetSize())
+		Expect(testing.AllocsPerRun(1000, func() { decide(&h, "household-000017") })).To(BeZero())
+	})
+
+	It("finds the owner of every key, and none where there is none", func() {
+		// Guards against a wrong index after targets were removed from the table.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			key := rapid.String().Draw(t, "key")
+			snapshot := targetSize()
+			s := snapshot.Services["route"]
+			p := placement.PartitionOf("route", key, s.Partitions)
+			i := rapid.IntRange(0, 900).Draw(t, "owner")
+			s.Assignment.Owner[p] = uint16(i)
+			var want *route.Target
+			if i < len(s.Owners) {
+				want = s.Owners[i]
+			}
+			if d := owner(s, key); d.target != want || d.partition != p || want != nil && d.epoch != 1<<32 {
+				t.Fatalf("got %+v", d)
+			}
+			s.Assignment.Owner[p] = placement.NoOwner
+			if d := owner(s, key); d.target != nil {
+				t.Fatalf("got %+v", d)
+			}
+		})
+	})
+
+	DescribeTable("takes the key from the path",
+		func(pattern, path, want string) { Expect(keyFromPath(pattern, path)).To(Equal(want)) },
+		Entry(nil, "/routes/{key}", "/routes/k1", "k1"),
+		Entry(nil, "/routes/{key}", "/routes/k1/stops", "k1"),
+		Entry(nil, "/routes/{key}/stops", "/routes/a%2Fb/stops", "a/b"),
+		Entry(nil, "/routes/{key}", "/routes", ""),
+		Entry(nil, "/routes/{key}", "/other/k1", ""),
+		Entry(nil, "/routes/{key}", "/routes/%zz", ""),
+	)
+})
--- /dev/null
+++ b/internal/load/config.go
@@ -0,0 +1,93 @@
+// Package load generates requests for measurements. Arrivals follow a fixed
+// schedule that does not wait for answers (open loop), and latency counts from
+// the scheduled time, so a slow system cannot hide its delays by slowing the
+// generator down. Every answer is checked to belong to its request: the server
+// has to answer with JSON that repeats path and key, as examples/backend does.
+package load
+
+import (
+	"errors"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// Bounds of a run.
+const (
+	maxRate     = 200_000 // requests per second
+	maxDuration = time.Hour
+)
+
+// Config describes a run.
+type Config struct {
+	// URLs are the caller listeners, used in turn, for example "http://127.0.0.1:8080".
+	URLs []string
+	// Service is the name of the service.
+	Service string
+	// Method of all requests. Default GET.
+	Method string
+	// Path is the path below the service; {key} and {n} are replaced by the key
+	// and the number of the request. Default "/items/{key}/{n}".
+	Path string
+	// Rate is the number of requests per second.
+	Rate float64
+	// Duration is the length of the schedule.
+	Duration time.Duration
+	// Keys is the number of keys, requested with equal chance. Default 1000.
+	Keys int
+	// HotShare is the share of requests that go to one key in addition.
+	HotShare float64
+	// Outstanding is the number of requests that may be open at a time.
+	// Arrivals beyond it are counted as skipped. Default 1000.
+	Outstanding int
+	// Timeout is sent as the deadline, and bounds each request. Default 1s.
+	Timeout time.Duration
+	// Idempotency sends a new Idempotency-Key with each request.
+	Idempotency bool
+	// BodyBytes is the size of request bodies.
+	BodyBytes int
+	// Seed makes the sequence of keys repeatable.
+	Seed uint64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Method == "" {
+		c.Method = "GET"
+	}
+	if c.Path == "" {
+		c.Path = "/items/{key}/{n}"
+	}
+	if c.Keys == 0 {
+		c.Keys = 1000
+	}
+	if c.Outstanding == 0 {
+		c.Outstanding = 1000
+	}
+	if c.Timeout == 0 {
+		c.Timeout = time.Second
+	}
+	return c
+}
+
+// Validate reports what is wrong with a configuration.
+func (c Config) Validate() error {
+	var errs []error
+	check := func(ok bool, text string) {
+		if !ok {
+			errs = append(errs, errors.New(text))
+		}
+	}
+	check(len(c.URLs) > 0, "url: at least one is needed")
+	for _, text := range c.URLs {
+		u, err := url.Parse(text)
+		check(err == nil && u.Host != "" && strings.HasPrefix(u.Scheme, "http"), "url: "+text+" is not an HTTP URL")
+	}
+	check(c.Service != "", "service: is missing")
+	check(c.Rate > 0 && c.Rate <= maxRate, "rate: must be above 0 and at most 200000 requests per second")
+	check(c.Duration > 0 && c.Duration <= maxDuration, "duration: must be above 0 and at most 1h")
+	check(c.Keys > 0, "keys: must be at least 1")
+	check(c.HotShare >= 0 && c.HotShare <= 1, "hot-share: must be between 0 and 1")
+	check(c.Outstanding > 0, "outstanding: must be at least 1")
+	check(c.Timeout > 0, "timeout: must be above 0")
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/load/request.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+)
+
+const (
+	headerKey         = "Boragegate-Key"
+	headerDeadline    = "Boragegate-Deadline"
+	headerOutcome     = "Boragegate-Outcome"
+	headerIdempotency = "Idempotency-Key"
+	// maxAnswer bounds an answer that is checked, in bytes.
+	maxAnswer = 16 << 20
+)
+
+// arrival is one scheduled request.
+type arrival struct {
+	n   int
+	key string
+	url string
+}
+
+// arrivals draws the requests of a run.
+type arrivals struct {
+	cfg    Config
+	random *rand.Rand
+}
+
+func newArrivals(c Config) *arrivals {
+	return &arrivals{c, rand.New(rand.NewPCG(c.Seed, 1))} //nolint:gosec // not a secret
+}
+
+func (a *arrivals) next(n int) arrival {
+	key := "hot"
+	if a.random.Float64() >= a.cfg.HotShare {
+		key = "k" + strconv.Itoa(a.random.IntN(a.cfg.Keys))
+	}
+	return arrival{n: n, key: key, url: a.cfg.URLs[n%len(a.cfg.URLs)]}
+}
+
+func (c Config) path(a arrival) string {
+	return strings.NewReplacer("{key}", a.key, "{n}", strconv.Itoa(a.n)).Replace(c.Path)
+}
+
+// send sends a request and checks its answer.
+func (c Config) send(ctx context.Context, t http.RoundTripper, a arrival) reply {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	path := c.path(a)
+	var body io.Reader
+	if c.BodyBytes > 0 {
+		body = bytes.NewReader(make([]byte, c.BodyBytes))
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, a.url+"/"+c.Service+path, body)
+	if err != nil {
+		return reply{}
+	}
+	req.Header.Set(headerKey, a.key)
+	req.Header.Set(headerDeadline, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
+	if c.Idempotency {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return reply{}
+		}
+		req.Header.Set(headerIdempotency, id.String())
+	}
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return reply{}
+	}
+	return check(resp, text, path, a.key)
+}
+
+// answer is the part of the sample server's answer that is checked.
+type answer struct {
+	Target string `json:"target"`
+	Path   string `json:"path"`
+	Key    string `json:"key"`
+}
+
+func check(resp *http.Response, body []byte, path, key string) reply {
+	r := reply{status: resp.StatusCode, outcome: resp.Header.Get(headerOutcome)}
+	if r.outcome == "" {
+		r.outcome = "none"
+	}
+	var got answer
+	if r.status >= 400 || json.Unmarshal(body, &got) != nil {
+		return r
+	}
+	r.target = got.Target
+	r.matches = got.Path == path && (got.Key == key || got.Key == "")
+	return r
+}
+
+// Echo is a handler that answers as the load generator expects, for tests and
+// for measurements without backend servers.
+func Echo(target string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, `{"target":%q,"path":%q,"key":%q}`, target, r.URL.Path, r.Header.Get(headerKey))
+	})
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,137 @@
+package load
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range of the latency histograms, in microseconds, with three digits.
+const (
+	lowestMicros  = 1
+	highestMicros = 10 * 60 * 1_000_000
+	digits        = 3
+)
+
+// Result is the result of a run.
+type Result struct {
+	Seconds float64 `json:"seconds"`
+	// Scheduled counts arrivals; Skipped those that were not sent because too
+	// many requests were open.
+	Scheduled int64 `json:"scheduled"`
+	Skipped   int64 `json:"skipped"`
+	// Good counts complete and correct answers with a status below 400.
+	Good          int64   `json:"good"`
+	GoodPerSecond float64 `json:"good_per_second"`
+	// Outcomes counts error answers by outcome, or "none" if the answer has none.
+	Outcomes map[string]int64 `json:"outcomes"`
+	Statuses map[string]int64 `json:"statuses"`
+	// Broken counts requests without a complete answer.
+	Broken int64 `json:"broken"`
+	// Mismatched counts answers that belong to another request. Any is a fault.
+	Mismatched int64 `json:"mismatched"`
+	// Targets counts good answers by the target that gave them.
+	Targets map[string]int64 `json:"targets"`
+	// Latency is that of good answers, Refusal that of error answers, from the
+	// scheduled time, in microseconds.
+	Latency Quantiles `json:"latency_us"`
+	Refusal Quantiles `json:"refusal_us"`
+}
+
+// Quantiles summarises a histogram.
+type Quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P90   int64 `json:"p90"`
+	P99   int64 `json:"p99"`
+	P999  int64 `json:"p999"`
+	Max   int64 `json:"max"`
+}
+
+func quantiles(h *hdr.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90),
+		P99: h.ValueAtQuantile(99), P999: h.ValueAtQuantile(99.9), Max: h.Max(),
+	}
+}
+
+// recorder collects results from all workers.
+type recorder struct {
+	mu      sync.Mutex
+	result  Result
+	good    *hdr.Histogram
+	refused *hdr.Histogram
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		result:  Result{Outcomes: map[string]int64{}, Statuses: map[string]int64{}, Targets: map[string]int64{}},
+		good:    hdr.New(lowestMicros, highestMicros, digits),
+		refused: hdr.New(lowestMicros, highestMicros, digits),
+	}
+}
+
+// reply is what became of one request.
+type reply struct {
+	status  int // 0 if there was no complete answer
+	outcome string
+	target  string
+	matches bool
+}
+
+func (r *recorder) add(a reply, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := &r.result
+	if a.status == 0 {
+		res.Broken++
+		return
+	}
+	res.Statuses[strconv.Itoa(a.status)]++
+	switch {
+	case a.status >= 400:
+		res.Outcomes[a.outcome]++
+		_ = r.refused.RecordValue(latency.Microseconds()) // out of range only beyond 10 minutes
+	case !a.matches:
+		res.Mismatched++
+	default:
+		res.Good++
+		res.Targets[a.target]++
+		_ = r.good.RecordValue(latency.Microseconds())
+	}
+}
+
+func (r *recorder) schedule(sent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Scheduled++
+	if !sent {
+		r.result.Skipped++
+	}
+}
+
+// take returns the result so far.
+func (r *recorder) take(elapsed time.Duration) Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := r.result
+	res.Seconds = elapsed.Seconds()
+	res.GoodPerSecond = float64(res.Good) / res.Seconds
+	res.Latency, res.Refusal = quantiles(r.good), quantiles(r.refused)
+	return res
+}
+
+// progress is the line that is shown while a run goes on.
+func (r *recorder) progress(elapsed time.Duration, open int) string {
+	s := r.take(elapsed)
+	refused := int64(0)
+	for _, n := range s.Outcomes {
+		refused += n
+	}
+	return fmt.Sprintf("%4.0fs  good %d (%.0f/s)  refused %d  broken %d  mismatched %d  open %d  p50 %s  p99 %s",
+		s.Seconds, s.Good, s.GoodPerSecond, refused, s.Broken, s.Mismatched, open,
+		time.Duration(s.Latency.P50)*time.Microsecond, time.Duration(s.Latency.P99)*time.Microsecond)
+}
