Plan by load with damping, hold-down and hot key relief

Weights alone leave hot keys on overloaded targets. The policy now estimates the load of each partition from noisy, stale or misleading reports, moves load only after a confirmed excess, separates heavy partitions that do not fit together, makes room for those of leaving and lost targets, holds returned targets back, and keeps urgent partitions out of failing zones. Package placementtest has traffic makers, baselines and a simulation.

--- a/placement/board.go
+++ b/placement/board.go
@@ -11,12 +11,17 @@
 // node is a target during one plan.
 type node struct {
 	Target
+	// hist is what the policy remembers of the target.
+	hist *history
 	// load is the cost of the partitions that the target owns, with started moves counted as done.
 	load float64
 	// share is the cost that the target should have.
 	share float64
 	// receives says that the target may get partitions in this plan.
 	receives bool
+	// frozen says that the target keeps what it has: it cannot receive for the
+	// moment, but neither is it lost or leaving.
+	frozen bool
 }
 
 // fill is the load relative to the share. A target without a share is infinitely full.
@@ -39,6 +44,8 @@
 	nodes []node
 	// owner is the node of each partition.
 	owner []int32
+	// pinned partitions have a new owner in this plan or a move under way.
+	pinned []bool
 	// cost is what each partition adds to the load of its owner.
 	cost []float64
 	// total is the sum of cost.
@@ -49,9 +56,10 @@
 // unlisted targets get nobody as owner.
 func newBoard(in Input, cost []float64) *board {
 	b := &board{
-		nodes: make([]node, len(in.Targets)),
-		owner: make([]int32, len(in.Assignment.Owner)),
-		cost:  cost,
+		nodes:  make([]node, len(in.Targets)),
+		owner:  make([]int32, len(in.Assignment.Owner)),
+		pinned: make([]bool, len(in.Assignment.Owner)),
+		cost:   cost,
 	}
 	for i, t := range in.Targets {
 		b.nodes[i] = node{Target: t}
@@ -103,12 +111,12 @@
 	}
 }
 
-// give makes the node the owner of the partition.
+// give makes the node the owner of the partition, which is not moved again in this plan.
 func (b *board) give(p int, to int32) {
 	if from := b.owner[p]; from != nobody {
 		b.nodes[from].load -= b.cost[p]
 	}
-	b.owner[p] = to
+	b.owner[p], b.pinned[p] = to, true
 	b.nodes[to].load += b.cost[p]
 }
 
@@ -121,3 +129,26 @@
 		return cmp.Compare(x, y)
 	})
 }
+
+// group sorts the partitions that are not pinned by owner, by counting. Those of node i are
+// index[start[i]:start[i+1]], in rising order.
+func (b *board) group() (start, index []int32) {
+	start = make([]int32, len(b.nodes)+1)
+	for p, o := range b.owner {
+		if o != nobody && !b.pinned[p] {
+			start[o+1]++
+		}
+	}
+	for i := 1; i < len(start); i++ {
+		start[i] += start[i-1]
+	}
+	next := slices.Clone(start)
+	index = make([]int32, start[len(start)-1])
+	for p, o := range b.owner {
+		if o != nobody && !b.pinned[p] {
+			index[next[o]] = int32(p) //nolint:gosec // at most 65536 partitions
+			next[o]++
+		}
+	}
+	return start, index
+}
--- /dev/null
+++ b/placement/makeroom.go
@@ -0,0 +1,132 @@
+package placement
+
+import "slices"
+
+const (
+	// similarFill is the excess over the best fill up to which nodes are compared by what they give up.
+	similarFill = 0.1
+	// comparedNodes bounds the number of nodes that are compared.
+	comparedNodes = 32
+)
+
+// cheapest returns the node that makes room for the cost by giving up the
+// fewest partitions; -1 if none can. A node may pass on one heavy partition to a
+// second node that makes room for it in the same way. That is noted in passes.
+func (pl *placer) cheapest(cost, fill float64) int {
+	best, fewest, heavy := -1, 0, pass{p: -1}
+	for _, v := range pl.similar(fill, cost) {
+		load := pl.beyond(v, cost)
+		if k := pl.givesUp(v, load, pl.rooms(v, v)); k > 0 && (best < 0 || k < fewest) {
+			best, fewest, heavy.p = v, k, -1
+		}
+		for _, h := range pl.list(v) {
+			c := pl.b.cost[h]
+			if c <= pl.large {
+				break
+			}
+			if c >= load || pl.passed(h) {
+				continue
+			}
+			if w, k := pl.passOn(v, load-c, c); k > 0 && (best < 0 || k < fewest) {
+				best, fewest, heavy = v, k, pass{h, int32(w)} //nolint:gosec // fewer than 65536 targets
+			}
+		}
+	}
+	if best >= 0 && heavy.p >= 0 {
+		pl.passes = append(pl.passes, heavy)
+	}
+	return best
+}
+
+func (pl *placer) passed(p int32) bool {
+	return slices.ContainsFunc(pl.passes, func(x pass) bool { return x.p == p })
+}
+
+// similar lists the nodes whose fill with the cost is near the best.
+func (pl *placer) similar(fill, cost float64) []int {
+	var is []int
+	for i := range pl.b.nodes {
+		if pl.ranks.pos[i] >= 0 && pl.b.nodes[i].fillWith(cost) <= fill+similarFill && len(is) < comparedNodes {
+			is = append(is, i)
+		}
+	}
+	return is
+}
+
+// passOn returns the node that takes a heavy partition of v with the fewest
+// moves, and their number with those that relieve v of the rest of its load.
+func (pl *placer) passOn(v int, rest, heavy float64) (best, fewest int) {
+	best = -1
+	for _, w := range pl.similar(maxFill, 0) {
+		if w == v {
+			continue
+		}
+		rooms := pl.rooms(v, w)
+		k := pl.givesUp(v, rest, rooms)
+		if k == 0 {
+			continue
+		}
+		l := 0
+		if more := pl.beyond(w, heavy); more > 0 {
+			if l = pl.givesUp(w, more, rooms); l == 0 {
+				continue
+			}
+		}
+		if best < 0 || 1+k+l < fewest {
+			best, fewest = w, 1+k+l
+		}
+	}
+	return best, fewest
+}
+
+// beyond is what node i has too much with the cost.
+func (pl *placer) beyond(i int, cost float64) float64 {
+	n := &pl.b.nodes[i]
+	return n.load + cost - (1+pl.overfill)*n.share
+}
+
+// rooms ranks the nodes but two by the room that they have, as negative keys.
+func (pl *placer) rooms(v, w int) *ranking {
+	rooms := newRanking(len(pl.b.nodes))
+	for i := range pl.b.nodes {
+		if i != v && i != w && pl.ranks.pos[i] >= 0 {
+			rooms.set(i, pl.beyond(i, 0))
+		}
+	}
+	return rooms
+}
+
+// givesUp is the number of partitions of node i that carry the load and fit in
+// the rooms, which they use up; 0 if there are none.
+func (pl *placer) givesUp(i int, load float64, rooms *ranking) int {
+	count := 0
+	for _, p := range pl.list(i) {
+		c, v := pl.b.cost[p], rooms.top()
+		if v < 0 || c > -rooms.keys[v] {
+			continue
+		}
+		rooms.set(v, rooms.keys[v]+c)
+		count++
+		if load -= c; load <= 0 {
+			return count
+		}
+	}
+	return 0
+}
+
+// list returns the partitions of the node by falling cost.
+func (pl *placer) list(i int) []int32 {
+	if pl.parts == nil {
+		pl.parts = make([][]int32, len(pl.b.nodes))
+		start, index := pl.b.group()
+		for j := range pl.parts {
+			pl.parts[j] = index[start[j]:start[j+1]:start[j+1]]
+		}
+		for j := range pl.parts {
+			if pl.ranks.pos[j] >= 0 {
+				pl.b.byCost(pl.parts[j])
+			}
+		}
+	}
+	return pl.parts[i]
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -10,19 +10,34 @@
 	ranks *ranking
 	// large is the cost from which on all nodes are compared.
 	large float64
+	// overfill is the part of its share by which a node may exceed it without being relieved.
+	overfill float64
+	// parts are the partitions of each node by falling cost, made when first needed.
+	parts [][]int32
+	// passes are moves of further heavy partitions that make room for the placed ones.
+	passes []pass
+}
+
+// pass is a move of a partition to another node.
+type pass struct {
+	p, to int32
 }
 
 // newPlacer returns a placer over the receiving nodes, or nil if there are none.
-func newPlacer(b *board) *placer {
+// Nodes in the zones to avoid are used only if there are no others.
+func newPlacer(b *board, avoid map[string]bool) *placer {
 	pl := &placer{b: b, ranks: newRanking(len(b.nodes))}
 	shares := 0.0
 	for i := range b.nodes {
-		if b.nodes[i].receives {
-			pl.ranks.set(i, b.nodes[i].fill())
-			shares += b.nodes[i].share
+		if n := &b.nodes[i]; n.receives && !avoid[n.Zone] {
+			pl.ranks.set(i, n.fill())
+			shares += n.share
 		}
 	}
 	if pl.ranks.top() < 0 {
+		if len(avoid) > 0 {
+			return newPlacer(b, nil)
+		}
 		return nil
 	}
 	pl.large = largeCost * shares / float64(len(pl.ranks.heap))
@@ -40,16 +55,31 @@
 	return int32(to) //nolint:gosec // as above
 }
 
+// refresh takes in loads that others have changed.
+func (pl *placer) refresh() {
+	for i := range pl.b.nodes {
+		if pl.ranks.pos[i] >= 0 {
+			pl.ranks.set(i, pl.b.nodes[i].fill())
+		}
+	}
+}
+
+// leastFullWith returns the node that is least full with the cost or, if that
+// is beyond its share, the one that has the fewest partitions to give up for it.
 func (pl *placer) leastFullWith(cost float64) int {
 	best, fill := pl.ranks.top(), maxFill
 	for i := range pl.b.nodes {
-		n := &pl.b.nodes[i]
-		if !n.receives {
-			continue
-		}
-		if f := n.fillWith(cost); f < fill {
-			best, fill = i, f
+		if n := &pl.b.nodes[i]; pl.ranks.pos[i] >= 0 {
+			if f := n.fillWith(cost); f < fill {
+				best, fill = i, f
+			}
 		}
 	}
+	if fill <= 1+pl.overfill {
+		return best
+	}
+	if v := pl.cheapest(cost, fill); v >= 0 {
+		return v
+	}
 	return best
 }
--- /dev/null
+++ b/placement/placementtest/baseline.go
@@ -0,0 +1,106 @@
+package placementtest
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragegate/boragegate/placement"
+)
+
+// Baseline is a stateless policy: a pure function of the usable targets, without limits or budget.
+type Baseline struct {
+	// owners returns the index of the target of each partition.
+	owners func(ts []placement.Target, partitions int) []int
+	last   []placement.Target
+	cached []int
+}
+
+// Plan moves every partition to its owner by the function, at once.
+func (b *Baseline) Plan(in placement.Input) placement.Plan {
+	var usable []placement.Target
+	for _, t := range in.Targets {
+		if t.Usable && !t.Lost && !t.Leaving && t.Weight > 0 {
+			usable = append(usable, t)
+		}
+	}
+	if !slices.Equal(usable, b.last) {
+		b.last, b.cached = usable, b.owners(usable, len(in.Assignment.Owner))
+	}
+	var plan placement.Plan
+	for p, o := range b.cached {
+		if name := usable[o].Name; in.Assignment.OwnerOf(p) != name {
+			plan.Urgent = append(plan.Urgent, placement.Change{Partition: p, Target: name})
+		}
+	}
+	return plan
+}
+
+// Modulo assigns partition p to target p mod n.
+func Modulo() *Baseline {
+	return &Baseline{owners: func(ts []placement.Target, partitions int) []int {
+		owners := make([]int, partitions)
+		for p := range owners {
+			owners[p] = p % len(ts)
+		}
+		return owners
+	}}
+}
+
+// virtualNodes is the number of points of a target of weight 1 on the hash ring.
+const virtualNodes = 100
+
+// ConsistentHash assigns partitions on a hash ring with virtual nodes in proportion to weight.
+func ConsistentHash() *Baseline {
+	type point struct {
+		hash   uint64
+		target int
+	}
+	return &Baseline{owners: func(ts []placement.Target, partitions int) []int {
+		var ring []point
+		for i, t := range ts {
+			for v := range int(virtualNodes * t.Weight) {
+				ring = append(ring, point{xxhash.Sum64String(t.Name + "#" + strconv.Itoa(v)), i})
+			}
+		}
+		slices.SortFunc(ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+		owners := make([]int, partitions)
+		for p := range owners {
+			i, _ := slices.BinarySearchFunc(ring, mix(uint64(p)), func(q point, h uint64) int { return cmp.Compare(q.hash, h) }) //nolint:gosec // not negative
+			owners[p] = ring[i%len(ring)].target
+		}
+		return owners
+	}}
+}
+
+// Rendezvous assigns partitions by weighted rendezvous hashing.
+func Rendezvous() *Baseline {
+	return &Baseline{owners: func(ts []placement.Target, partitions int) []int {
+		seeds := make([]uint64, len(ts))
+		for i, t := range ts {
+			seeds[i] = xxhash.Sum64String(t.Name)
+		}
+		owners := make([]int, partitions)
+		for p := range owners {
+			best := math.Inf(1)
+			for i, t := range ts {
+				u := (float64(mix(seeds[i]^mix(uint64(p)))>>11) + 0.5) / (1 << 53) //nolint:gosec // not negative
+				if score := -math.Log(u) / t.Weight; score < best {
+					best, owners[p] = score, i
+				}
+			}
+		}
+		return owners
+	}}
+}
+
+// mix spreads the bits of x.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/placement/placementtest/bounds_test.go
@@ -0,0 +1,138 @@
+package placementtest
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/boragegate/boragegate/placement"
+)
+
+// full measures the target size for the whole hour and the whole day:
+//
+//	go test ./placement/placementtest -run TestBounds -v -args -full
+var full = flag.Bool("full", false, "measure the target size over a whole day")
+
+// Bounds of docs/design.md, section 10.
+const (
+	boundSteady   = 1.05
+	boundChurn    = 1.1
+	boundRecovery = 60 * time.Second
+)
+
+func TestBounds(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement bounds")
+}
+
+func fleets() []Fleet {
+	quiet := 5 * time.Minute
+	if *full {
+		quiet = time.Hour
+	}
+	return []Fleet{
+		{
+			"15 targets, 4 zones, availability", func() []placement.Target { return Targets(15, 4, 6, 1) },
+			func(seed uint64) *Traffic { return NewTraffic(seed, 1024, 200e3, 0.9, 45, 0.005) }, false, time.Hour,
+		},
+		{
+			"15 targets, 3 zones, stability", func() []placement.Target { return Targets(15, 3, 3, 1) },
+			func(seed uint64) *Traffic { return NewTraffic(seed, 1024, 200e3, 0.9, 22.5, 0.005) }, true, time.Hour,
+		},
+		{
+			"676 targets, 7 zones, weights 1:2:4", func() []placement.Target { return Targets(676, 7, 64, 1, 2, 4) },
+			func(seed uint64) *Traffic { return NewTraffic(seed, 65536, 620e6, 0.7, 52e3, 0.01) }, false, quiet,
+		},
+	}
+}
+
+var policies = []struct {
+	name string
+	make func() placement.Policy
+}{
+	{"weighted", func() placement.Policy { return placement.NewWeighted(placement.Settings{}) }},
+	{"modulo", func() placement.Policy { return Modulo() }},
+	{"consistent hash", func() placement.Policy { return ConsistentHash() }},
+	{"rendezvous", func() placement.Policy { return Rendezvous() }},
+}
+
+// measureAll fills one row per fleet, seed and policy, four at a time.
+func measureAll(seeds uint64) [][]Result {
+	var rows [][]Result
+	var g errgroup.Group
+	g.SetLimit(4)
+	for _, f := range fleets() {
+		n := seeds
+		if len(f.Targets()) > 100 {
+			n = 1
+		}
+		for seed := range n {
+			row := make([]Result, len(policies))
+			rows = append(rows, row)
+			for i, p := range policies {
+				g.Go(func() error {
+					row[i] = MeasureFleet(f, p.name, p.make(), seed+1)
+					return nil
+				})
+			}
+		}
+	}
+	_ = g.Wait()
+	return rows
+}
+
+var _ = Describe("Bounds of section 10", func() {
+	It("hold on every fleet, and no baseline is better balanced (guards against a policy that moves too much or balances too little)", func() {
+		seeds := uint64(2)
+		if *full {
+			seeds = 10
+		}
+		rows := measureAll(seeds)
+		fmt.Println(Header())
+		for _, row := range rows {
+			for _, r := range row {
+				fmt.Println(r)
+			}
+		}
+		for _, row := range rows {
+			r := row[0]
+			at := r.String()
+			Expect(r.Steady).To(BeNumerically("<=", boundSteady), at)
+			Expect(r.After).To(BeNumerically("<=", boundSteady), at)
+			Expect(r.QuietMoves).To(BeZero(), at)
+			for _, churn := range []float64{r.Join, r.Leave, r.Weight} {
+				Expect(churn).To(BeNumerically("<=", boundChurn), at)
+			}
+			Expect(r.Recovery).To(And(BeNumerically(">=", 0), BeNumerically("<=", boundRecovery)), at)
+			for _, other := range row[1:] {
+				Expect(r.Steady).To(BeNumerically("<=", other.Steady), at)
+			}
+		}
+	})
+
+	It("use traffic in which no single key exceeds a share (guards against bounds that no policy can meet)", func() {
+		for _, f := range fleets() {
+			largest, sum := 0.0, 0.0
+			for _, t := range f.Targets() {
+				largest, sum = max(largest, t.Weight), sum+t.Weight
+			}
+			Expect(f.Traffic(1).Hottest()).To(BeNumerically("<", largest/sum), f.Name)
+		}
+	})
+
+	It("hold over a day of failures and restarts with a moving hot set (guards against churn that adds up)", func() {
+		failures, restarts := 1, 2
+		if *full {
+			failures, restarts = 2, 68
+		}
+		d := RunDay(fleets()[2], 1, failures, restarts)
+		fmt.Printf("day: failures=%d restarts=%d churn=%.3f worst=%.3f load_moves=%d\n", failures, restarts, d.Churn, d.Worst, d.Load)
+		Expect(d.Churn).To(BeNumerically("<=", boundChurn))
+		Expect(d.Worst).To(BeNumerically("<", goal))
+	})
+})
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -54,6 +54,8 @@
 
 // Reasons of moves.
 const (
+	ReasonInitial   = "initial"
+	ReasonLost      = "lost"
 	ReasonLeaving   = "leaving"
 	ReasonWeight    = "weight"
 	ReasonLoad      = "load"
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -7,6 +7,8 @@
 )
 
 // rebalancer finds single moves from nodes above their share to nodes below it.
+// Each move lowers the sum of squared deviations relative to the shares, so the
+// moves cannot go round in circles.
 type rebalancer struct {
 	b         *board
 	donors    *ranking
@@ -17,22 +19,29 @@
 	start, index []int32
 	// tolerance is the deviation from the share, as a part of it, that is left alone.
 	tolerance float64
-	// typical prefers partitions of ordinary cost, which keeps key counts in
-	// proportion; otherwise the largest that fit are taken, which moves fewest keys.
-	typical bool
+	// fillUp also moves partitions to nodes below their share when no node is
+	// far above it, and prefers partitions of mean cost, which keeps key
+	// counts in proportion. Otherwise only nodes above their share are relieved,
+	// of the largest partitions that fit, which moves fewest keys.
+	fillUp bool
+	// overfill is the part of its share by which a receiver may exceed it.
+	overfill float64
 	// mean is the mean cost of a partition.
 	mean float64
 }
 
-func newRebalancer(b *board, tolerance float64, typical bool) *rebalancer {
+// newRebalancer returns a rebalancer that takes from the donors.
+func newRebalancer(b *board, tolerance float64, fillUp bool, donors []int) *rebalancer {
 	n := len(b.nodes)
 	r := &rebalancer{
 		b: b, donors: newRanking(n), receivers: newRanking(n), lists: make([][]int32, n),
-		tolerance: tolerance, typical: typical, mean: b.total / float64(max(1, len(b.cost))),
+		tolerance: tolerance, fillUp: fillUp, mean: b.total / float64(max(1, len(b.cost))),
+	}
+	for _, i := range donors {
+		r.donors.set(i, -b.nodes[i].fill())
 	}
 	for i := range b.nodes {
 		if b.nodes[i].receives {
-			r.donors.set(i, -b.nodes[i].fill())
 			r.receivers.set(i, b.nodes[i].fill())
 		}
 	}
@@ -51,11 +60,14 @@
 			return 0, 0, 0, false
 		}
 		donor, receiver := &r.b.nodes[d], &r.b.nodes[v]
-		if donor.load-donor.share <= r.slack(donor) {
+		balanced := donor.load-donor.share <= r.slack(donor)
+		if r.fillUp {
+			balanced = balanced && receiver.share-receiver.load <= r.slack(receiver)
+		}
+		if balanced {
 			return 0, 0, 0, false
 		}
-		p = r.pick(d, donor.load-donor.share, receiver.share-receiver.load)
-		if p < 0 {
+		if p = r.pick(d, receiver); p < 0 {
 			r.donors.remove(d)
 			continue
 		}
@@ -76,38 +88,54 @@
 	}
 }
 
-// pick takes a partition from the donor's list: one that fits in both the
-// excess and the room, or else the smallest whose move still lowers the sum of
-// deviations, which holds up to twice the smaller of the two. It returns -1 if none does.
-func (r *rebalancer) pick(donor int, excess, room float64) int {
-	list := r.list(donor)
-	fits := min(excess, room)
-	if len(list) == 0 || fits <= 0 {
+// pick takes a partition from the donor's list, or returns -1 if no move helps.
+func (r *rebalancer) pick(d int, receiver *node) int {
+	donor := &r.b.nodes[d]
+	list := r.list(d)
+	if len(list) == 0 || donor.share <= 0 || receiver.share <= 0 {
 		return -1
 	}
-	bound := fits
-	if r.typical {
-		bound = min(fits, r.b.cost[list[len(list)/2]])
+	excess, room := donor.load-donor.share, receiver.share-receiver.load
+	// A move lowers the sum of squared deviations if its cost is below gain.
+	gain := (excess/donor.share + room/receiver.share) / (1/donor.share + 1/receiver.share)
+	i := 0
+	if r.fillUp {
+		i = r.nearest(list, min(r.mean, gain))
+	} else {
+		i = max(0, r.last(list, min(excess, room+r.overfill*receiver.share)))
 	}
-	i := sort.Search(len(list), func(i int) bool { return r.b.cost[list[i]] > bound }) - 1
-	if i < 0 {
-		i = 0
+	if r.b.cost[list[i]] >= gain && i > 0 {
+		i--
 	}
-	if r.b.cost[list[i]] >= 2*fits {
+	if r.b.cost[list[i]] >= gain {
 		return -1
 	}
 	p := int(list[i])
-	r.lists[donor] = slices.Delete(list, i, i+1)
+	r.lists[d] = slices.Delete(list, i, i+1)
 	return p
 }
 
+// last returns the place of the largest partition that costs at most bound, or -1.
+func (r *rebalancer) last(list []int32, bound float64) int {
+	return sort.Search(len(list), func(i int) bool { return r.b.cost[list[i]] > bound }) - 1
+}
+
+// nearest returns the place of the partition whose cost is nearest to the wanted one.
+func (r *rebalancer) nearest(list []int32, cost float64) int {
+	i := r.last(list, cost)
+	if i < 0 || i+1 < len(list) && r.b.cost[list[i+1]]-cost < cost-r.b.cost[list[i]] {
+		return i + 1
+	}
+	return i
+}
+
 // list returns the donor's partitions by rising cost.
 func (r *rebalancer) list(donor int) []int32 {
 	if r.lists[donor] != nil {
 		return r.lists[donor]
 	}
 	if r.index == nil {
-		r.group()
+		r.start, r.index = r.b.group()
 	}
 	list := slices.Clone(r.index[r.start[donor]:r.start[donor+1]])
 	slices.SortFunc(list, func(x, y int32) int {
@@ -119,24 +147,3 @@
 	r.lists[donor] = list
 	return list
 }
-
-// group sorts the partitions by owner, by counting.
-func (r *rebalancer) group() {
-	r.start = make([]int32, len(r.b.nodes)+1)
-	for _, o := range r.b.owner {
-		if o != nobody {
-			r.start[o+1]++
-		}
-	}
-	for i := 1; i < len(r.start); i++ {
-		r.start[i] += r.start[i-1]
-	}
-	next := slices.Clone(r.start)
-	r.index = make([]int32, r.start[len(r.start)-1])
-	for p, o := range r.b.owner {
-		if o != nobody {
-			r.index[next[o]] = int32(p) //nolint:gosec // at most 65536 partitions
-			next[o]++
-		}
-	}
-}
--- a/placement/shares.go
+++ b/placement/shares.go
@@ -5,15 +5,20 @@
 const slotCeiling = 0.85
 
 // setShares divides the total cost over the receiving nodes in proportion to
-// weight. If costs are loads in slots, no node gets more than slotCeiling of
+// weight; frozen nodes keep what they have. If costs are loads in slots, no node gets more than slotCeiling of
 // its slots while another has room; what it cannot take goes to the others.
 func (b *board) setShares(costIsLoad bool) {
 	left := b.total
 	open := make([]int, 0, len(b.nodes))
 	for i := range b.nodes {
-		b.nodes[i].share = 0
-		if b.nodes[i].receives {
+		n := &b.nodes[i]
+		n.share = 0
+		switch {
+		case n.receives:
 			open = append(open, i)
+		case n.frozen:
+			n.share = n.load
+			left -= n.load
 		}
 	}
 	for len(open) > 0 {
--- a/placement/weighted.go
+++ b/placement/weighted.go
@@ -1,161 +1,298 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// deferredLimit bounds the deferred moves of a plan. They are for display; a
-// zone's return can want thousands.
-const deferredLimit = 64
-
-// tolerance is the part of a share by which a target may deviate after a change of weights.
-const tolerance = 0.01
-
-// Weighted is the policy "placement.weighted". It owns the history of one
-// service and is used by the goroutine of the control loop.
+// Weighted is the policy "placement.weighted". It owns the load estimate and
+// the history of one service and is used by the goroutine of the control loop.
 type Weighted struct {
 	set     Settings
+	loads   *loads
+	targets map[string]*history
+	planned bool
 	moves   budget
 	leaving budget
+	// growing says that shares have changed and targets below theirs are to be filled up.
+	growing bool
+	// inherited says that the first plan found owners, begun is its time, and
+	// settled says that the load estimate has been precise once.
+	inherited, settled bool
+	begun              time.Duration
 	// started are moves that were handed out and are not visible in the assignment yet.
 	started map[int]startedMove
+	reasons reasons
+	ones    []float64
 }
 
 // startedMove is a move that was handed out.
 type startedMove struct {
-	to string
-	at time.Duration
+	from, to, reason string
+	at               time.Duration
 }
 
 // startedTimeout is the time after which a started move that has not happened is planned again.
 const startedTimeout = 30 * time.Second
 
+const (
+	// readyRounds is the number of load reports that a plan by load needs.
+	readyRounds = 3
+	// settledRounds is the number of load reports, 5 minutes at the usual
+	// interval, after which the estimate is precise.
+	settledRounds = 30
+	// unknownLoadAfter is the time after which a new planner takes the load as not reported at all.
+	unknownLoadAfter = 2 * time.Minute
+)
+
 // NewWeighted returns a policy for one service.
 func NewWeighted(s Settings) *Weighted {
-	return &Weighted{set: s.withDefaults(), started: map[int]startedMove{}}
+	return &Weighted{set: s.withDefaults(), targets: map[string]*history{}, started: map[int]startedMove{}}
+}
+
+// round is one call of Plan.
+type round struct {
+	*Weighted
+	in   Input
+	th   thresholds
+	b    *board
+	plan Plan
 }
 
 // Plan implements Policy. Each move is handed out once; it is planned again if
 // it has not happened when InFlight is 0 or after startedTimeout. Owners that
 // Input.Targets does not list count as lost.
 func (w *Weighted) Plan(in Input) Plan {
-	var plan Plan
-	b := newBoard(in, w.costs(in))
-	for i := range b.nodes {
-		n := &b.nodes[i]
-		n.receives = n.Usable && !n.Lost && !n.Leaving && n.Weight > 0
-	}
-	w.applyStarted(in, b)
-	b.sum()
-	b.setShares(in.Load != nil)
-	w.refill(in)
-	pl := newPlacer(b)
-	if pl == nil {
-		return plan
+	r := &round{Weighted: w, in: in, th: w.set.thresholds(in.PreferStability)}
+	w.fit(len(in.Assignment.Owner))
+	r.b = newBoard(in, make([]float64, len(in.Assignment.Owner)))
+	if !w.planned {
+		w.begun, w.inherited = in.Now, slices.ContainsFunc(in.Assignment.Owner, func(o uint16) bool { return o != NoOwner })
 	}
-	w.urgent(b, pl, &plan)
-	w.vacate(in, b, pl, &plan)
-	w.rebalance(in, b, &plan)
-	return plan
+	r.observe()
+	r.applyStarted()
+	r.b.sum()
+	r.admit()
+	r.refill()
+	r.urgent()
+	r.vacate()
+	r.rebalance()
+	r.relieve()
+	r.announce()
+	w.planned = true
+	return r.plan
 }
 
-// costs returns the cost of each partition: its load, else its keys, else 1.
-func (w *Weighted) costs(in Input) []float64 {
-	n := len(in.Assignment.Owner)
-	switch {
-	case len(in.Load) == n:
-		return in.Load
-	case len(in.Keys) == n:
-		return in.Keys
+// fit sizes the state for n partitions. The number of a service never changes.
+func (w *Weighted) fit(n int) {
+	if len(w.ones) == n {
+		return
+	}
+	w.loads, w.reasons = newLoads(n), newReasons(n)
+	w.ones = make([]float64, n)
+	for i := range w.ones {
+		w.ones[i] = 1
+	}
+}
+
+// observe updates the histories of the targets and the load estimate, and sets the costs.
+func (r *round) observe() {
+	for i := range r.b.nodes {
+		n := &r.b.nodes[i]
+		if n.hist = r.targets[n.Name]; n.hist == nil {
+			n.hist = &history{}
+			r.targets[n.Name] = n.hist
+		}
+		n.hist.observe(r.in.Now, n.Target, !r.planned, r.th)
 	}
-	cost := make([]float64, n)
-	for i := range cost {
-		cost[i] = 1
+	for name, h := range r.targets {
+		if r.in.Now-h.seen > historyKept {
+			delete(r.targets, name)
+		}
+	}
+	r.loads.observe(r.in, r.b, r.set.Smoothing)
+	keys := relative(r.in.Keys, r.ones)
+	if r.loads.known {
+		r.loads.costs(r.b.cost, keys)
+		return
 	}
-	return cost
+	copy(r.b.cost, keys)
 }
 
-func (w *Weighted) refill(in Input) {
-	part := w.set.Budget
-	if in.PreferStability {
-		part = w.set.StableBudget
+// relative returns the keys of each partition relative to their mean, or ones if they are not known.
+func relative(keys, ones []float64) []float64 {
+	sum := 0.0
+	for _, k := range keys {
+		sum += k
+	}
+	if len(keys) != len(ones) || sum <= 0 {
+		return ones
 	}
-	n := float64(len(in.Assignment.Owner))
-	w.moves.refill(in.Now, max(1, part*n), w.set.BudgetInterval)
-	w.leaving.refill(in.Now, max(1, w.set.LeavingBudget*n), time.Second)
+	part := make([]float64, len(keys))
+	for i, k := range keys {
+		part[i] = k / sum * float64(len(keys))
+	}
+	return part
 }
 
 // applyStarted counts started moves as done and forgets those that ended.
-func (w *Weighted) applyStarted(in Input, b *board) {
-	for p, s := range w.started {
-		to := b.find(s.to)
-		over := in.InFlight == 0 || in.Now-s.at > startedTimeout
-		if over || p >= len(b.owner) || to == nobody || b.owner[p] == nobody || b.owner[p] == to || b.nodes[to].Lost {
-			delete(w.started, p)
+func (r *round) applyStarted() {
+	for p, s := range r.started {
+		to := r.b.find(s.to)
+		if to != nobody && r.b.owner[p] == to {
+			r.reasons.note(Change{Partition: p, Target: s.to}, s.reason, s.at)
+		}
+		over := r.in.InFlight == 0 || r.in.Now-s.at > startedTimeout
+		if over || to == nobody || r.b.owner[p] == nobody || r.b.owner[p] == to || r.b.nodes[to].Lost {
+			delete(r.started, p)
 			continue
 		}
-		b.owner[p] = to
+		r.b.owner[p], r.b.pinned[p] = to, true
 	}
 }
 
+// admit decides which targets receive partitions, and sets the shares.
+func (r *round) admit() {
+	any := false
+	for i := range r.b.nodes {
+		n := &r.b.nodes[i]
+		n.receives = n.eligible() && !n.hist.held(r.in.Now)
+		any = any || n.receives
+	}
+	for i := range r.b.nodes {
+		n := &r.b.nodes[i]
+		if !any {
+			n.receives = n.eligible()
+		}
+		n.frozen = !n.receives && !n.Lost && !n.Leaving && n.Weight > 0
+		if n.hist.changed(n) && r.planned {
+			r.growing = true
+		}
+	}
+	r.mature()
+	r.b.setShares(r.loads.known)
+}
+
+// mature starts to fill up targets by number of keys while the load is not
+// known, and once by load when the estimate is precise.
+func (r *round) mature() {
+	switch {
+	case !r.loads.known:
+		r.growing = true
+	case !r.settled && r.loads.rounds >= settledRounds:
+		r.growing, r.settled = true, true
+	}
+}
+
+// ready says that costs are good enough for filling up. A new planner that finds
+// owners waits for load reports, since the owners may have been chosen by load.
+func (r *round) ready() bool {
+	if r.loads.known {
+		return r.loads.rounds >= readyRounds
+	}
+	return !r.inherited || r.in.Now-r.begun > unknownLoadAfter
+}
+
+// eligible says that the target may own partitions.
+func (n *node) eligible() bool { return n.Usable && !n.Lost && !n.Leaving && n.Weight > 0 }
+
+func (r *round) refill() {
+	n := float64(len(r.b.owner))
+	r.moves.refill(r.in.Now, max(1, r.th.budget*n), r.set.BudgetInterval)
+	r.leaving.refill(r.in.Now, max(1, r.set.LeavingBudget*n), time.Second)
+}
+
 // urgent gives partitions without a living owner a new one.
-func (w *Weighted) urgent(b *board, pl *placer, plan *Plan) {
+func (r *round) urgent() {
 	var orphans []int32
-	for p, o := range b.owner {
+	for p, o := range r.b.owner {
 		if o == nobody {
 			orphans = append(orphans, int32(p)) //nolint:gosec // at most 65536 partitions
 		}
 	}
-	b.byCost(orphans)
-	for _, p := range orphans {
-		to := pl.place(int(p))
-		plan.Urgent = append(plan.Urgent, Change{Partition: int(p), Target: b.nodes[to].Name})
+	if len(orphans) == 0 {
+		return
+	}
+	pl := newPlacer(r.b, r.b.failingZones(r.in.Now))
+	if pl == nil {
+		return
 	}
+	r.plan.Urgent = make([]Change, 0, len(orphans))
+	r.placeAll(pl, orphans, &r.moves, func(p int, _, to int32) {
+		c := Change{Partition: p, Target: r.b.nodes[to].Name}
+		r.plan.Urgent = append(r.plan.Urgent, c)
+		reason := ReasonLost
+		if r.in.Assignment.Owner[p] == NoOwner {
+			reason = ReasonInitial
+		}
+		r.reasons.note(c, reason, r.in.Now)
+	})
 }
 
 // vacate moves partitions off targets that should have none.
-func (w *Weighted) vacate(in Input, b *board, pl *placer, plan *Plan) {
+func (r *round) vacate() {
 	var ps []int32
-	for p, o := range b.owner {
-		if o != nobody && (b.nodes[o].Leaving || b.nodes[o].Weight <= 0) {
+	for p, o := range r.b.owner {
+		if o != nobody && (r.b.nodes[o].Leaving || r.b.nodes[o].Weight <= 0) {
 			ps = append(ps, int32(p)) //nolint:gosec // at most 65536 partitions
 		}
 	}
-	b.byCost(ps)
-	for _, p := range ps {
-		from := b.owner[p]
-		to := pl.place(int(p))
-		m := Move{Change: Change{Partition: int(p), Target: b.nodes[to].Name}, From: b.nodes[from].Name}
-		if b.nodes[from].Leaving {
-			w.emit(in, &w.leaving, m, ReasonLeaving, plan)
+	if len(ps) == 0 {
+		return
+	}
+	pl := newPlacer(r.b, nil)
+	if pl == nil {
+		return
+	}
+	r.placeAll(pl, ps, &r.leaving, func(p int, from, to int32) {
+		if r.b.nodes[from].Leaving {
+			r.emit(&r.leaving, p, from, to, ReasonLeaving)
 		} else {
-			w.emit(in, &w.moves, m, ReasonWeight, plan)
+			r.emit(&r.moves, p, from, to, ReasonWeight)
 		}
-	}
+	})
 }
 
-// rebalance moves partitions from targets above their share to targets below it.
-func (w *Weighted) rebalance(in Input, b *board, plan *Plan) {
-	r := newRebalancer(b, tolerance, true)
-	for len(plan.Deferred) < deferredLimit {
-		p, from, to, ok := r.next()
-		if !ok {
-			return
+// placeAll gives each partition a new owner, those of the largest cost first.
+// Owners that a large one fills beyond their share are relieved before the
+// others are placed, while there is most room for what they give up. Those
+// moves are charged to the budget.
+func (r *round) placeAll(pl *placer, ps []int32, charge *budget, note func(p int, from, to int32)) {
+	r.b.byCost(ps)
+	pl.overfill = r.th.enter
+	i := 0
+	if r.loads.known {
+		for ; i < len(ps) && r.b.cost[ps[i]] > pl.large; i++ {
+			from := r.b.owner[ps[i]]
+			note(int(ps[i]), from, pl.place(int(ps[i])))
 		}
-		m := Move{Change: Change{Partition: p, Target: b.nodes[to].Name}, From: b.nodes[from].Name}
-		w.emit(in, &w.moves, m, ReasonWeight, plan)
+	}
+	if i > 0 && r.planned {
+		r.makeRoom(pl, charge)
+	}
+	for ; i < len(ps); i++ {
+		from := r.b.owner[ps[i]]
+		note(int(ps[i]), from, pl.place(int(ps[i])))
 	}
 }
 
-// emit hands the move out if the budget allows it, else defers it.
-func (w *Weighted) emit(in Input, from *budget, m Move, reason string, plan *Plan) {
-	m.Reason = reason
-	if from.available() > 0 {
-		from.take(1)
-		w.started[m.Partition] = startedMove{to: m.Target, at: in.Now}
-		plan.Moves = append(plan.Moves, m)
-		return
+// makeRoom relieves the nodes that large partitions have filled beyond their share.
+func (r *round) makeRoom(pl *placer, charge *budget) {
+	for _, m := range pl.passes {
+		from := r.b.owner[m.p]
+		r.b.give(int(m.p), m.to)
+		r.emit(charge, int(m.p), from, m.to, ReasonHotKey)
+	}
+	var donors []int
+	for i := range r.b.nodes {
+		if n := &r.b.nodes[i]; pl.ranks.pos[i] >= 0 && n.load > (1+r.th.enter)*n.share {
+			donors = append(donors, i)
+		}
 	}
-	m.Reason = ReasonBudget
-	if len(plan.Deferred) < deferredLimit {
-		plan.Deferred = append(plan.Deferred, m)
+	if len(donors) > 0 {
+		rb := newRebalancer(r.b, r.th.enter, false, donors)
+		rb.overfill = r.th.enter
+		r.drain(rb, charge, func(int32) string { return ReasonHotKey })
+		pl.refresh()
 	}
 }
