--- /dev/null
+++ b/internal/daemon/listeners.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/boragegate/boragegate/internal/gateway"
+	"github.com/boragegate/boragegate/internal/mtls"
+)
+
+// forwardConnections bounds the idle connections to each other instance.
+const forwardConnections = 256
+
+// listeners are the HTTP listeners of an instance and their servers.
+type listeners struct {
+	caller   net.Listener
+	forward  net.Listener
+	operator net.Listener
+
+	mu      sync.Mutex
+	servers []*http.Server
+}
+
+func (l *listeners) open(a Addresses) error {
+	var err error
+	if l.caller, err = net.Listen("tcp", a.Caller); err != nil {
+		return eris.Wrap(err, "caller listener")
+	}
+	if l.forward, err = net.Listen("tcp", a.Forward); err != nil {
+		return eris.Wrap(err, "forward listener")
+	}
+	if l.operator, err = net.Listen("tcp", a.Operator); err != nil {
+		return eris.Wrap(err, "operator listener")
+	}
+	return nil
+}
+
+func (l *listeners) server(h http.Handler) *http.Server {
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.servers = append(l.servers, srv)
+	return srv
+}
+
+// close ends all listeners and connections at once.
+func (l *listeners) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, srv := range l.servers {
+		_ = srv.Close()
+	}
+	for _, ln := range []net.Listener{l.caller, l.forward, l.operator} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// encrypt wraps a listener with TLS if there are keys for it.
+func encrypt(ln net.Listener, keys *mtls.Material) net.Listener {
+	if keys == nil {
+		return ln
+	}
+	return tls.NewListener(ln, keys.ServerConfig())
+}
+
+func (i *Instance) forwardScheme() string {
+	if i.keys == nil {
+		return "http"
+	}
+	return "https"
+}
+
+// forwardTransport returns the connections to other instances. With TLS, each
+// connection must prove that it leads to the member that has the address.
+func (i *Instance) forwardTransport() http.RoundTripper {
+	t := gateway.NewTransport(nil, forwardConnections)
+	if i.keys == nil {
+		return t
+	}
+	dial := t.DialContext
+	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		id, err := i.memberAt(address)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured := tls.Client(conn, i.keys.ClientConfig(id))
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return secured, nil
+	}
+	return t
+}
+
+func (i *Instance) memberAt(forwardAddress string) (string, error) {
+	for _, m := range i.members() {
+		if m.ForwardAddress == forwardAddress {
+			return m.ID, nil
+		}
+	}
+	return "", eris.Errorf("no member of the cell has the forward address %s", forwardAddress)
+}
--- /dev/null
+++ b/internal/gateway/local.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/boragegate/boragegate/admission"
+)
+
+// runHere runs a request at a target that this instance is in front of, unless
+// it must not be repeated and was run before.
+func (g *Gateway) runHere(c *call, d destination) (*http.Response, *failure) {
+	t := g.targets.of(d.target)
+	r := &run{gateway: g, target: t, call: c, partition: d.partition}
+	if c.idem != "" {
+		entry, resp, f := g.beginOnce(c, d, t)
+		if f != nil || resp != nil {
+			return resp, f
+		}
+		r.entry = entry
+	}
+	resp, f := g.admit(c, d, r)
+	if f != nil {
+		r.finish(f.outcome)
+	}
+	return resp, f
+}
+
+// admit waits for a slot and sends the request to the server. The authority is
+// checked after the wait, just before the request is sent.
+func (g *Gateway) admit(c *call, d destination, r *run) (*http.Response, *failure) {
+	ticket, err := r.target.gate.Acquire(c.ctx, admission.Request{Class: c.class, Key: c.routingKey(), Deadline: c.deadline})
+	if err != nil {
+		return nil, admissionFailure(c, err)
+	}
+	r.ticket = ticket
+	if !r.target.inflight.begin(d.partition, d.tenure()) {
+		return nil, notOwner("the partition is being handed over")
+	}
+	r.begun = true
+	if !g.mayRun(c, d) || r.entry != nil && !r.entry.Run() {
+		return nil, notOwner("this instance or the target does not own the partition at the moment")
+	}
+	return g.callServer(c, d, r)
+}
+
+// mayRun checks this instance's authority at the moment of the request.
+func (g *Gateway) mayRun(c *call, d destination) bool {
+	id := d.target.Row.ID()
+	if d.partition != noPartition && c.service.Leased() {
+		return g.cfg.Authority.MayRun(id, d.target.Term, d.partition, d.epoch)
+	}
+	return g.cfg.Authority.MayForward(id, d.target.Term)
+}
+
+func admissionFailure(c *call, err error) *failure {
+	refusal := new(admission.Refusal)
+	if errors.As(err, &refusal) {
+		f := unavailable(string(refusal.Reason), "the target did not admit the request")
+		f.retryAfter = refusal.RetryAfter
+		return f
+	}
+	if errors.Is(c.in.Context().Err(), context.Canceled) {
+		return notRun(statusClientClosed, "caller-gone", "the caller closed the connection")
+	}
+	f := unavailable("deadline", "the deadline passed in the queue")
+	return f
+}
+
+func (g *Gateway) callServer(c *call, d destination, r *run) (*http.Response, *failure) {
+	h := endToEnd(c.in.Header)
+	if c.service.Divided {
+		setIfAny(h, headerKey, c.key)
+	}
+	g.setInternal(h, c, d)
+	u := &url.URL{Scheme: "http", Host: d.target.Row.Address}
+	resp, f := g.exchange(c, r.target.pool(), u, c.path, h)
+	if f != nil {
+		if f.outcome == OutcomeUnknown && c.safe {
+			f.again = againLater
+		}
+		return nil, f
+	}
+	if f := refusalOf(resp, r.target); f != nil {
+		drainAndClose(resp.Body)
+		return nil, f
+	}
+	if hasOwnHeaders(resp.Header) {
+		resp.Header = endToEnd(resp.Header)
+	}
+	if r.entry != nil {
+		r.recorder = newRecorder(r.entry, resp)
+	}
+	resp.Body = &runBody{ReadCloser: resp.Body, run: r}
+	return resp, nil
+}
+
+// refusalOf returns a failure if the server vouches that it ran nothing.
+func refusalOf(resp *http.Response, t *target) *failure {
+	if resp.Header.Get(headerOutcome) != string(OutcomeNotRun) {
+		return nil
+	}
+	switch resp.StatusCode {
+	case http.StatusMisdirectedRequest:
+		return notOwner("the server does not hold the partition at this epoch")
+	case http.StatusServiceUnavailable:
+		f := unavailable("server-shedding", "the server sheds load")
+		if s, err := strconv.Atoi(resp.Header.Get(headerRetryAfter)); err == nil && s > 0 {
+			f.retryAfter = time.Duration(s) * time.Second
+			t.gate.Pause(f.retryAfter)
+		}
+		return f
+	}
+	return notRun(resp.StatusCode, "server-refused", "the server ran nothing")
+}
--- /dev/null
+++ b/internal/gateway/targets.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/boragegate/boragegate/admission"
+	"github.com/boragegate/boragegate/idempotency"
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/retry"
+	"github.com/boragegate/boragegate/table"
+)
+
+// target is the state of a target that this instance is in front of.
+type target struct {
+	id       string
+	gate     *admission.Gate
+	inflight *inflight
+	log      *idempotency.Log
+	usage    usage
+
+	mu        sync.Mutex
+	transport *http.Transport
+	row       table.Row
+}
+
+// targets holds the state of all targets that this instance was in front of.
+type targets struct {
+	gateway *Gateway
+	m       sync.Map // ID to *target
+}
+
+func (t *targets) of(r *route.Target) *target {
+	id := r.Row.ID()
+	v, ok := t.m.Load(id)
+	if !ok {
+		var loaded bool
+		v, loaded = t.m.LoadOrStore(id, t.newTarget(id, r.Row))
+		if !loaded {
+			v.(*target).registerGauges(t.gateway.cfg.Metrics)
+		}
+	}
+	found := v.(*target)
+	found.update(r.Row)
+	return found
+}
+
+func (t *targets) newTarget(id string, row table.Row) *target {
+	return &target{
+		id: id, row: row,
+		gate:      admission.NewGate(limitsOf(row), t.gateway.clock),
+		inflight:  newInflight(t.gateway.clock),
+		log:       idempotency.NewLog(t.gateway.cfg.Idempotency, t.gateway.clock),
+		transport: NewTransport(nil, row.Connections),
+		usage:     usage{since: t.gateway.clock.Now()},
+	}
+}
+
+// update adopts a changed row.
+func (t *target) update(row table.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.row == row {
+		return
+	}
+	t.gate.SetLimits(limitsOf(row))
+	if t.row.Connections != row.Connections {
+		t.transport.CloseIdleConnections()
+		t.transport = NewTransport(nil, row.Connections)
+	}
+	t.row = row
+}
+
+func (t *target) pool() *http.Transport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.transport
+}
+
+func limitsOf(row table.Row) admission.Limits {
+	slots := row.Slots
+	if row.Connections > 0 {
+		slots = min(slots, row.Connections) // a slot without a connection could not be used
+	}
+	return admission.Limits{Slots: slots, Queue: row.Queue, Rate: row.Rate}
+}
+
+// budgets holds the retry budget of each service.
+type budgets struct{ m sync.Map }
+
+func (b *budgets) of(service string) *retry.Budget {
+	if v, ok := b.m.Load(service); ok {
+		return v.(*retry.Budget)
+	}
+	v, _ := b.m.LoadOrStore(service, retry.NewBudget(retry.DefaultShare, retry.DefaultBurst))
+	return v.(*retry.Budget)
+}
