Add reference pages, tutorial, examples and project files

Cause: operators need to look up fields, commands, codes, metrics and events, and new users need a way from one machine to eight instances. Conclusion: the pages are checked against the code where the code has a list.

--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,60 @@
+// Package examples_test checks the example files with the real parsers.
+package examples_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/boragegate/boragegate/internal/settings"
+	"github.com/boragegate/boragegate/table"
+)
+
+// TestTables guards against examples that the parser refuses, and against sizes
+// other than those of section 1 of the design page.
+func TestTables(t *testing.T) {
+	for file, sizes := range map[string]map[string]int{
+		"kozmu":     {"route": 15, "booking": 8, "map": 8},
+		"loomprint": {"design": 15, "order": 9, "proof": 6},
+	} {
+		d := readSettings(t, filepath.Join(file, "settings.jsonc"))
+		path := filepath.Join(file, "table.jsonc")
+		parsed, err := table.ParseWith(path, read(t, path), table.Options{Zones: d.KnownZones})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(parsed.Services) != len(sizes) {
+			t.Errorf("%s has %d services", path, len(parsed.Services))
+		}
+		for service, n := range sizes {
+			if got := len(parsed.RowsOf(service)); got != n {
+				t.Errorf("%s: service %s has %d rows, want %d", path, service, got, n)
+			}
+		}
+	}
+}
+
+// TestTool guards against tool settings that the parser refuses.
+func TestTool(t *testing.T) {
+	if _, err := settings.ParseTool("tool.jsonc", read(t, "tool.jsonc"), nil); err != nil {
+		t.Error(err)
+	}
+}
+
+func readSettings(t *testing.T, path string) *settings.Daemon {
+	t.Helper()
+	d, err := settings.ParseDaemon(path, read(t, path), nil, settings.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func read(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -200,14 +200,22 @@
 	s.assert("lost")
 }
 
-// TestHelp guards against a command without help or example.
+// TestHelp guards against a command without help, example or place on the reference page.
 func TestHelp(t *testing.T) {
 	s := newSession(t)
+	page, err := os.ReadFile("../../docs/reference/cli.md")
+	if err != nil {
+		t.Fatal(err)
+	}
 	var walk func(c *cobra.Command)
 	walk = func(c *cobra.Command) {
 		if c.Example == "" {
 			t.Errorf("%s has no example", c.CommandPath())
 		}
+		path := strings.TrimPrefix(c.CommandPath(), "boragegate ")
+		if !c.HasSubCommands() && !strings.Contains(string(page), "`"+path) {
+			t.Errorf("docs/reference/cli.md lacks %s", path)
+		}
 		s.run(strings.TrimPrefix(c.CommandPath()+" --help", "boragegate "))
 		for _, sub := range c.Commands() {
 			walk(sub)
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -1,23 +1,7 @@
 package metrics
 
-// Names of metrics. docs/reference/metrics.md is made from this list. Metrics
-// with other names are rendered too, without a help line.
+// Names of metrics that are taken from the state of the instance at each scrape.
 const (
-	// Registered by the parts of the daemon.
-	RequestsTotal        = "boragegate_requests_total"
-	RequestSeconds       = "boragegate_request_seconds"
-	RefusedTotal         = "boragegate_requests_refused_total"
-	ForwardedTotal       = "boragegate_requests_forwarded_total"
-	RetriesTotal         = "boragegate_retries_total"
-	RetryBudgetEmpty     = "boragegate_retry_budget_empty_total"
-	PartitionsMovedTotal = "boragegate_partitions_moved_total"
-	UnavailableSeconds   = "boragegate_partition_unavailable_seconds"
-	StoreCallsTotal      = "boragegate_store_calls_total"
-	StoreCallSeconds     = "boragegate_store_call_seconds"
-	PeerBytesTotal       = "boragegate_peer_bytes_total"
-	LogSuppressedTotal   = "boragegate_log_lines_suppressed_total"
-
-	// Taken from the state of the instance at each scrape.
 	Ready           = "boragegate_ready"
 	InContact       = "boragegate_in_contact"
 	StoreAvailable  = "boragegate_store_available"
@@ -35,20 +19,33 @@
 	LoadShare       = "boragegate_target_load_share"
 )
 
-// Help has the help line of each metric.
+// rules turn the dotted names that the parts of the daemon register into names
+// with labels. The first rule that fits applies. The last placeholder of a
+// pattern takes the rest of the name, because targets may have dots.
+var rules = []rule{
+	{pattern: "gateway.requests.answered.{service}", family: "boragegate_requests_answered_total"},
+	{pattern: "gateway.requests.{outcome}.{problem}", family: "boragegate_requests_failed_total"},
+	{pattern: "gateway.retries.{service}", family: "boragegate_retries_total"},
+	{pattern: "gateway.latency_us.{service}", family: "boragegate_request_seconds", unit: 1e-6},
+	{pattern: "gateway.slots_used.{target}", family: "boragegate_gateway_slots_used"},
+	{pattern: "gateway.queued.{target}", family: "boragegate_gateway_queued"},
+	{pattern: "gateway.idempotency_records.{target}", family: "boragegate_gateway_idempotency_records"},
+	{pattern: "peer.rejected.{reason}", family: "boragegate_peer_rejected_total"},
+}
+
+// Help has the help line of each metric. docs/reference/metrics.md lists the same
+// names; metrics that it lacks are rendered without a help line.
 var Help = map[string]string{
-	RequestsTotal:        "Requests by service and outcome (run, not-run, unknown).",
-	RequestSeconds:       "Time from the arrival of a request to the end of its answer, by service.",
-	RefusedTotal:         "Requests that were refused with outcome not-run, by service and reason.",
-	ForwardedTotal:       "Requests that another instance controls, by service.",
-	RetriesTotal:         "Attempts after the first one, by service.",
-	RetryBudgetEmpty:     "Retries that were left out because the retry budget was used up, by service.",
-	PartitionsMovedTotal: "Partitions that changed owner, by service and reason.",
-	UnavailableSeconds:   "Time for which a partition had no owner that could serve it, by service.",
-	StoreCallsTotal:      "Calls of the platform's store, by call and result.",
-	StoreCallSeconds:     "Time of calls of the platform's store, by call.",
-	PeerBytesTotal:       "Bytes of control messages between instances, by direction.",
-	LogSuppressedTotal:   "Log lines left out by the rate limit.",
+	"boragegate_requests_answered_total":     "Requests that got a server's answer, by service.",
+	"boragegate_requests_failed_total":       "Requests that the instance answered itself, by outcome (not-run, run, unknown) and problem.",
+	"boragegate_retries_total":               "Attempts after the first one, by service.",
+	"boragegate_request_seconds":             "Time from the arrival of a request to the header of a server's answer, by service.",
+	"boragegate_gateway_slots_used":          "Requests that run at a target that this instance controls.",
+	"boragegate_gateway_queued":              "Requests that wait for a slot of a target that this instance controls.",
+	"boragegate_gateway_idempotency_records": "Idempotency keys that are kept for a target that this instance controls.",
+	"boragegate_peer_rejected_total":         "Connections and messages of peers that were refused, by reason.",
+	"boragegate_peer_bytes_received_total":   "Bytes of control messages received.",
+	"boragegate_peer_bytes_sent_total":       "Bytes of control messages sent.",
 
 	Ready:           "1 if the instance takes requests.",
 	InContact:       "1 if the instance reaches a majority of its cell.",
@@ -61,8 +58,8 @@
 	Imbalance:       "Largest ratio of a target's load share to its weight share, by service.",
 	Partitions:      "Partitions that a target owns.",
 	Slots:           "Slots of a target.",
-	InUse:           "Requests that run at a target; exact at its controller.",
-	Queued:          "Requests that wait for a slot of a target; exact at its controller.",
+	InUse:           "Requests that run at a target, as last reported.",
+	Queued:          "Requests that wait for a slot of a target, as last reported.",
 	WeightShare:     "Weight of a target as a share of its service.",
 	LoadShare:       "Load of a target as a share of its service.",
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,7 +1,8 @@
 // Package metrics renders a go-metrics registry in the text exposition format
 // that monitoring systems read.
 //
-// A metric's name in the registry may carry labels, see Name. Counters are
+// A metric's name in the registry may carry labels, see Name. Dotted names of the
+// parts of the daemon become names with labels by a list of rules. Counters are
 // rendered as counters, gauges as gauges, meters as counters, histograms and
 // timers as summaries. Values of timers are seconds.
 package metrics
@@ -45,6 +46,7 @@
 // sample is one metric of a family.
 type sample struct {
 	labels string
+	unit   float64
 	metric any
 }
 
@@ -53,8 +55,8 @@
 	families := map[string][]sample{}
 	for _, r := range registries {
 		r.Each(func(name string, m any) {
-			base, labels := split(name)
-			families[base] = append(families[base], sample{labels, m})
+			v := resolve(name, m)
+			families[v.family] = append(families[v.family], sample{v.labels, v.unit, m})
 		})
 	}
 	names := make([]string, 0, len(families))
@@ -72,22 +74,6 @@
 	return nil
 }
 
-// split takes a registered name apart and replaces characters that the format
-// does not allow in names.
-func split(name string) (base, labels string) {
-	base, labels, _ = strings.Cut(name, "{")
-	base = strings.Map(func(r rune) rune {
-		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_' || r == ':' {
-			return r
-		}
-		return '_'
-	}, base)
-	if base == "" || base[0] >= '0' && base[0] <= '9' {
-		base = "_" + base
-	}
-	return base, strings.TrimSuffix(labels, "}")
-}
-
 func writeFamily(b *bufio.Writer, name string, samples []sample) {
 	sort.Slice(samples, func(i, j int) bool { return samples[i].labels < samples[j].labels })
 	typ := typeOf(samples[0].metric)
@@ -126,7 +112,7 @@
 		line(b, name, s.labels, "", m.Value())
 	case gometrics.Histogram:
 		h := m.Snapshot()
-		summary(b, name, s.labels, h.Percentiles(quantiles), h.Count(), float64(h.Sum()), 1)
+		summary(b, name, s.labels, h.Percentiles(quantiles), h.Count(), float64(h.Sum()), s.unit)
 	case gometrics.Timer:
 		t := m.Snapshot()
 		summary(b, name, s.labels, t.Percentiles(quantiles), t.Count(), float64(t.Sum()), 1/float64(time.Second))
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,9 +19,13 @@
 func TestWrite(t *testing.T) {
 	RegisterTestingT(t)
 	r := gometrics.NewRegistry()
-	gometrics.GetOrRegisterCounter(metrics.Name(metrics.RequestsTotal, "service", "b", "outcome", "run"), r).Inc(3)
-	gometrics.GetOrRegisterCounter(metrics.Name(metrics.RequestsTotal, "service", `a"\`, "outcome", "run"), r).Inc(2)
-	gometrics.GetOrRegisterTimer(metrics.Name(metrics.RequestSeconds, "service", "b"), r).Update(250 * time.Millisecond)
+	gometrics.GetOrRegisterCounter("gateway.requests.answered.route", r).Inc(3)
+	gometrics.GetOrRegisterCounter(`gateway.requests.answered.a"\`, r).Inc(2)
+	gometrics.GetOrRegisterCounter("gateway.requests.not-run.queue-full", r).Inc(1)
+	gometrics.GetOrRegisterGauge("gateway.queued.route/r1.north", r).Update(4)
+	gometrics.GetOrRegisterHistogram("gateway.latency_us.route", r, gometrics.NewUniformSample(10)).Update(250_000)
+	gometrics.GetOrRegisterCounter("peer.bytes_sent", r).Inc(70)
+	gometrics.GetOrRegisterTimer(metrics.Name("calls_seconds", "call", "get"), r).Update(250 * time.Millisecond)
 	gometrics.GetOrRegisterGauge("1 odd.name", r).Update(7)
 	h := gometrics.NewHistogram(gometrics.NewUniformSample(10))
 	Expect(r.Register("sizes", h)).To(Succeed())
@@ -29,3 +35,16 @@
 	Expect(metrics.Write(&b, r)).To(Succeed())
 	goldie.New(t).Assert(t, "metrics", b.Bytes())
 }
+
+// TestReference guards against metrics that the reference page lacks or describes differently.
+func TestReference(t *testing.T) {
+	page, err := os.ReadFile("../../docs/reference/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, help := range metrics.Help {
+		if !strings.Contains(string(page), "`"+name+"`") || !strings.Contains(string(page), help) {
+			t.Errorf("docs/reference/metrics.md lacks %s: %s", name, help)
+		}
+	}
+}
--- /dev/null
+++ b/internal/metrics/rule.go
@@ -0,0 +1,80 @@
+package metrics
+
+import (
+	"strings"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// rule names a group of registered metrics.
+type rule struct {
+	// pattern has dotted parts; parts in braces are labels.
+	pattern string
+	family  string
+	// unit is the factor to the unit of the family; 0 is 1.
+	unit float64
+}
+
+// resolved is a registered name in the terms of the format.
+type resolved struct {
+	family, labels string
+	unit           float64
+}
+
+// resolve finds family and labels of a registered name.
+func resolve(name string, metric any) resolved {
+	if base, labels, ok := strings.Cut(name, "{"); ok {
+		return resolved{family: clean(base), labels: strings.TrimSuffix(labels, "}"), unit: 1}
+	}
+	for _, r := range rules {
+		if labels, ok := r.match(name); ok {
+			unit := r.unit
+			if unit == 0 {
+				unit = 1
+			}
+			_, l, _ := strings.Cut(Name("", labels...), "{")
+			return resolved{family: r.family, labels: strings.TrimSuffix(l, "}"), unit: unit}
+		}
+	}
+	family := clean(name)
+	if !strings.HasPrefix(family, "boragegate_") {
+		family = "boragegate_" + family
+	}
+	if _, ok := metric.(gometrics.Counter); ok && !strings.HasSuffix(family, "_total") {
+		family += "_total"
+	}
+	return resolved{family: family, unit: 1}
+}
+
+// match returns pairs of label and value if the name fits the pattern.
+func (r rule) match(name string) ([]string, bool) {
+	parts := strings.Split(r.pattern, ".")
+	values := strings.SplitN(name, ".", len(parts))
+	if len(values) != len(parts) {
+		return nil, false
+	}
+	var labels []string
+	for i, p := range parts {
+		switch label, isLabel := strings.CutPrefix(p, "{"); {
+		case isLabel:
+			labels = append(labels, strings.TrimSuffix(label, "}"), values[i])
+		case p != values[i]:
+			return nil, false
+		}
+	}
+	return labels, true
+}
+
+// clean replaces characters that the format does not allow in names.
+func clean(name string) string {
+	name = strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_' || r == ':' {
+			return r
+		}
+		return '_'
+	}, name)
+	if name == "" || name[0] >= '0' && name[0] <= '9' {
+		return "_" + name
+	}
+	return name
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 
@@ -64,6 +65,25 @@
 	goldie.New(t).Assert(t, "metrics", w.Body.Bytes())
 }
 
+// TestReference guards against paths and codes that the reference page lacks.
+func TestReference(t *testing.T) {
+	page, err := os.ReadFile("../../docs/reference/operator-api.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{
+		api.PathTable, api.PathInForce, api.PathHistory, api.PathVersions, api.PathRollback, api.PathStatus, api.PathInstances,
+		api.PathForget, api.PathServices, api.PathOwners, api.PathExplain, api.PathEvents, api.PathAudit, api.PathMetrics,
+		api.PathHealth, api.PathReady, string(api.CodeBadRequest), string(api.CodeUnauthorized), string(api.CodeForbidden),
+		string(api.CodeNotFound), string(api.CodeNotAllowed), string(api.CodeTooLarge), string(api.CodeFindings),
+		string(api.CodeConflict), string(api.CodeUnavailable), string(api.CodeUnknown), string(api.CodeInternal),
+	} {
+		if !strings.Contains(string(page), name) {
+			t.Errorf("docs/reference/operator-api.md lacks %s", name)
+		}
+	}
+}
+
 const change = `{"base": 1, "table": {"services": [{"name": "route"}],
 	"rows": [{"service": "route", "target": "r1", "address": "10.0.1.1:8080", "zone": "buda", "slots": 3}]}}`
 
--- a/internal/operator/operatortest/fake.go
+++ b/internal/operator/operatortest/fake.go
@@ -157,7 +157,7 @@
 // Events implements operator.Daemon.
 func (d *Daemon) Events(limit int) []api.Event {
 	list := []api.Event{
-		{Time: start.Add(2 * time.Second), Event: "partition.moved", Fields: map[string]string{"service": "route", "partition": "12", "to": "r2"}},
+		{Time: start.Add(2 * time.Second), Event: "assignment.in_force", Fields: map[string]string{"service": "route", "version": "4294967298"}},
 		{Time: start, Event: "table.in_force", Fields: map[string]string{"table_version": "1"}},
 	}
 	return list[:min(limit, len(list))]
