--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"net"
 	"net/http"
@@ -18,14 +19,18 @@
 	"github.com/boragegate/boragegate/internal/backend"
 	"github.com/boragegate/boragegate/internal/control"
 	"github.com/boragegate/boragegate/internal/gateway"
+	"github.com/boragegate/boragegate/internal/logging"
 	"github.com/boragegate/boragegate/internal/mtls"
+	"github.com/boragegate/boragegate/internal/operator"
 	"github.com/boragegate/boragegate/internal/peer"
 	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/internal/standard"
 	"github.com/boragegate/boragegate/internal/tablesync"
 	"github.com/boragegate/boragegate/ownership"
 	"github.com/boragegate/boragegate/placement"
 	"github.com/boragegate/boragegate/platform"
 	"github.com/boragegate/boragegate/table"
+	"github.com/boragegate/boragegate/table/tablestore"
 )
 
 const (
@@ -55,10 +60,23 @@
 	// Plain turns authentication between instances off; otherwise Keys is used.
 	Plain bool
 	Keys  mtls.Files
+	// CallerKeys and OperatorKeys turn TLS on for those listeners. With an
+	// authority, the other side must show a certificate of it.
+	CallerKeys, OperatorKeys mtls.Files
+	// Policy makes placement policies.
+	Policy standard.PolicyMaker
 	// BalancerDelay is the time between failing the readiness check and the
 	// hand-over at a planned stop, in which the balancer takes notice.
 	BalancerDelay time.Duration
 	Logger        zerolog.Logger
+	// Recent has the last events of the log; nil reports none.
+	Recent *logging.Recent
+	// Release is the version of the program.
+	Release string
+	// Operators are the names of operators by the SHA-256 of their token.
+	Operators map[[sha256.Size]byte]string
+	// KnownZones are the zones that the table may name; nil accepts every zone.
+	KnownZones []string
 	// Record takes the records of the control core; nil logs them.
 	Record control.Recorder
 }
@@ -75,8 +93,14 @@
 	runner   *control.Runner
 	follower *tablesync.Follower
 	servers  *backend.Client
-	keys     *mtls.Material
-	lists    listeners
+	keys     *mtls.Material // nil in plain mode, like the next two
+
+	callerKeys   *mtls.Material
+	operatorKeys *mtls.Material
+
+	lists   listeners
+	tables  *tablestore.Tables
+	started time.Time
 
 	t        tomb.Tomb
 	stopping atomic.Bool
@@ -84,7 +108,7 @@
 
 // New opens the listeners. The instance takes no requests before Start.
 func New(o Options) (*Instance, error) {
-	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New()}
+	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New(), started: time.Now()}
 	i.logger = o.Logger.With().Str("instance", o.ID).Logger()
 	if err := i.open(); err != nil {
 		i.lists.close()
@@ -96,15 +120,21 @@
 
 // open binds the listeners, so that their addresses are known.
 func (i *Instance) open() error {
-	var err error
-	if !i.opts.Plain {
-		if i.keys, err = mtls.Load(i.opts.Keys); err != nil {
+	for to, files := range map[**mtls.Material]mtls.Files{
+		&i.keys: i.opts.Keys, &i.callerKeys: i.opts.CallerKeys, &i.operatorKeys: i.opts.OperatorKeys,
+	} {
+		if files == (mtls.Files{}) {
+			continue
+		}
+		var err error
+		if *to, err = mtls.Load(files); err != nil {
 			return err
 		}
 	}
 	if err := i.lists.open(i.opts.Listen); err != nil {
 		return err
 	}
+	var err error
 	i.peers, err = peer.New(peer.Config{
 		Self: i.opts.ID, Cell: i.opts.Cell, Listen: i.opts.Listen.Peer,
 		Plain: i.opts.Plain, TLS: i.opts.Keys,
@@ -118,7 +148,7 @@
 	cfg.Cell = i.opts.Cell
 	cfg.Incarnation = uuid.NewString()
 	cfg.Self = i.self()
-	cfg.NewPolicy = func(string) placement.Policy { return placement.NewWeighted(placement.Settings{}) }
+	cfg.NewPolicy = func(string) placement.Policy { return i.opts.Policy.NewPolicy() }
 	i.runner = control.New(control.Config{
 		Core: cfg, Store: i.opts.Store, Servers: i.servers, Peers: i.peers,
 		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
@@ -132,6 +162,7 @@
 		Self: i.opts.ID, Store: i.opts.Store, Peers: i.peers, Members: i.members,
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
 	})
+	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
 }
 
 // admissions lets the control loop stop the admission of requests.
@@ -198,8 +229,9 @@
 		i.t.Go(i.probe)
 		i.t.Go(i.reportLoad)
 		i.t.Go(i.transferRecords)
-		i.serve(i.lists.caller, i.gateway.CallerHandler())
-		i.serve(i.secure(i.lists.forward), i.gateway.ForwardHandler())
+		i.serve(encrypt(i.lists.caller, i.callerKeys), i.gateway.CallerHandler())
+		i.serve(encrypt(i.lists.operator, i.operatorKeys), i.operatorHandler())
+		i.serve(encrypt(i.lists.forward, i.keys), i.gateway.ForwardHandler())
 		return nil
 	})
 	return nil
@@ -226,6 +258,18 @@
 // CallerAddress is the address on which callers are served.
 func (i *Instance) CallerAddress() string { return i.lists.caller.Addr().String() }
 
+// OperatorAddress is the address of the operator listener.
+func (i *Instance) OperatorAddress() string { return i.lists.operator.Addr().String() }
+
+// Tables returns the access to the operators' table.
+func (i *Instance) Tables() *tablestore.Tables { return i.tables }
+
+func (i *Instance) operatorHandler() http.Handler {
+	return operator.New(operator.Options{
+		Tables: i.tables, Daemon: i, Registry: i.metrics, Tokens: i.opts.Operators, Zones: i.opts.KnownZones,
+	})
+}
+
 // View returns the control core's view.
 func (i *Instance) View() *ownership.View { return i.runner.View() }
 
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/boragegate/boragegate/internal/gateway"
+	"github.com/boragegate/boragegate/internal/mtls"
 )
 
 // forwardConnections bounds the idle connections to each other instance.
@@ -17,8 +18,9 @@
 
 // listeners are the HTTP listeners of an instance and their servers.
 type listeners struct {
-	caller  net.Listener
-	forward net.Listener
+	caller   net.Listener
+	forward  net.Listener
+	operator net.Listener
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -32,6 +34,9 @@
 	if l.forward, err = net.Listen("tcp", a.Forward); err != nil {
 		return eris.Wrap(err, "forward listener")
 	}
+	if l.operator, err = net.Listen("tcp", a.Operator); err != nil {
+		return eris.Wrap(err, "operator listener")
+	}
 	return nil
 }
 
@@ -55,19 +60,19 @@
 	for _, srv := range l.servers {
 		_ = srv.Close()
 	}
-	for _, ln := range []net.Listener{l.caller, l.forward} {
+	for _, ln := range []net.Listener{l.caller, l.forward, l.operator} {
 		if ln != nil {
 			_ = ln.Close()
 		}
 	}
 }
 
-// secure wraps a listener with mutual TLS unless the instance runs in plain mode.
-func (i *Instance) secure(ln net.Listener) net.Listener {
-	if i.keys == nil {
+// encrypt wraps a listener with TLS if there are keys for it.
+func encrypt(ln net.Listener, keys *mtls.Material) net.Listener {
+	if keys == nil {
 		return ln
 	}
-	return tls.NewListener(ln, i.keys.ServerConfig())
+	return tls.NewListener(ln, keys.ServerConfig())
 }
 
 func (i *Instance) forwardScheme() string {
