Check outcomes of table changes under faults and improve messages

Cause: a lost reply with an overtaking operator was tested in single cases only, and a trial with three daemons showed unclear messages when there is no table yet. Conclusion: accepted versions stay and refused ones do not exist under these faults.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -6,7 +6,10 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/boragegate/boragegate"
 	"github.com/boragegate/boragegate/internal/settings"
+	_ "github.com/boragegate/boragegate/internal/standard" // registers the stores
+	"github.com/boragegate/boragegate/platform"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -43,7 +46,17 @@
 
 func readSettings(t *testing.T, path string) *settings.Daemon {
 	t.Helper()
-	d, err := settings.ParseDaemon(path, read(t, path), nil, settings.Options{})
+	o := settings.Options{
+		StoreModules: boragegate.Modules("store"),
+		CheckStore: func(s settings.Store) error {
+			store, err := boragegate.LoadAs[platform.Store](t.Context(), s.Module, s.Config)
+			if err != nil {
+				return err
+			}
+			return boragegate.Unload(store)
+		},
+	}
+	d, err := settings.ParseDaemon(path, read(t, path), nil, o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"os"
 
@@ -34,32 +33,6 @@
 			return err
 		},
 	}
-	setFlag(cmd, &set)
+	cmd.Flags().StringArrayVar(&set, "set", nil, "setting as path=value, for example zone=pest; overrides file and environment")
 	return cmd
 }
-
-// NewDaemonRun returns the command "run FILE" of the daemon: it reads the
-// settings as check does and then calls run, which returns after a graceful stop.
-func NewDaemonRun(o settings.Options, run func(ctx context.Context, d *settings.Daemon) error) *cobra.Command {
-	var set []string
-	cmd := &cobra.Command{
-		Use:   "run FILE",
-		Short: "Run an instance until SIGTERM or SIGINT, then stop gracefully",
-		Example: "  boragegated run /etc/boragegate/settings.jsonc\n" +
-			"  BORAGEGATED_INSTANCE=gate-2 boragegated run settings.jsonc --set log.level=debug",
-		Args: exactly(1, "one settings file"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			d, err := settings.LoadDaemon(args[0], os.Environ(), set, o)
-			if err != nil {
-				return err
-			}
-			return run(cmd.Context(), d)
-		},
-	}
-	setFlag(cmd, &set)
-	return cmd
-}
-
-func setFlag(cmd *cobra.Command, set *[]string) {
-	cmd.Flags().StringArrayVar(set, "set", nil, "setting as path=value, for example zone=pest; overrides file and environment")
-}
--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -101,7 +101,7 @@
 // apply returns the current table with the change.
 func (e edit) apply(current *table.Table, values map[string]json.RawMessage) (*table.Table, error) {
 	if current == nil {
-		current = &table.Table{}
+		return nil, usagef("there is no table yet; use \"table apply\" to make one")
 	}
 	b, err := json.Marshal(current)
 	if err != nil {
--- a/internal/cli/services.go
+++ b/internal/cli/services.go
@@ -27,6 +27,9 @@
 }
 
 func (a *app) printServices(list []api.Service) error {
+	if len(list) == 0 {
+		return a.printf("the instance has no services: no table is in force yet\n")
+	}
 	for i, s := range list {
 		if i > 0 {
 			if err := a.printf("\n"); err != nil {
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -163,6 +163,8 @@
 	s.fake.Behind = 1000
 	check(cli.ExitNotInForce, "table wait 2 --timeout 2s")
 	check(cli.ExitNotInForce, "table wait 2 --timeout 1s -o json")
+	check(cli.ExitError, "explain none k")
+	check(cli.ExitError, "table get --version 9")
 	check(cli.ExitUnavailable, "--address 127.0.0.1:1 status")
 	s.file("token", "not-the-token-of-anybody")
 	check(cli.ExitRefused, "status")
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 
 	"github.com/uptrace/bunrouter"
 
@@ -85,7 +86,7 @@
 		{context.Canceled, http.StatusServiceUnavailable, api.CodeUnavailable},
 	} {
 		if errors.Is(err, c.target) {
-			return problem(c.status, c.code, err.Error())
+			return problem(c.status, c.code, strings.TrimPrefix(err.Error(), "tablestore: "))
 		}
 	}
 	return problem(http.StatusInternalServerError, api.CodeInternal, err.Error())
--- a/internal/operator/reads.go
+++ b/internal/operator/reads.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/boragegate/boragegate/internal/metrics"
 	"github.com/boragegate/boragegate/internal/operator/api"
+	"github.com/boragegate/boragegate/platform"
 )
 
 func (s *server) status(w http.ResponseWriter, _ bunrouter.Request) error {
@@ -31,7 +33,15 @@
 			return send(w, []api.Service{v})
 		}
 	}
-	return notFound("service " + strconv.Quote(name))
+	return serviceError(name, platform.ErrNotFound)
+}
+
+// serviceError says which service the instance does not know.
+func serviceError(name string, err error) error {
+	if errors.Is(err, platform.ErrNotFound) {
+		return problem(http.StatusNotFound, api.CodeNotFound, "the table in force has no service "+strconv.Quote(name))
+	}
+	return err
 }
 
 func (s *server) owners(w http.ResponseWriter, req bunrouter.Request) error {
@@ -41,7 +51,7 @@
 	}
 	o, err := s.Daemon.Owners(service)
 	if err != nil {
-		return err
+		return serviceError(service, err)
 	}
 	return send(w, o)
 }
@@ -54,7 +64,7 @@
 	}
 	e, err := s.Daemon.Explain(service, key)
 	if err != nil {
-		return err
+		return serviceError(service, err)
 	}
 	return send(w, e)
 }
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -35,17 +35,28 @@
 func (s *server) tableGet(w http.ResponseWriter, req bunrouter.Request) error {
 	r, err := s.Tables.Get(req.Context())
 	if err != nil {
-		return err
+		return tableError(err)
 	}
 	return sendTable(w, r)
 }
 
+// tableError says in plain words that there is no table.
+func tableError(err error) error {
+	if errors.Is(err, platform.ErrNotFound) {
+		return problem(http.StatusNotFound, api.CodeNotFound, "there is no table yet")
+	}
+	return err
+}
+
 func (s *server) version(w http.ResponseWriter, req bunrouter.Request) error {
 	v, err := strconv.ParseUint(req.Param("version"), 10, 64)
 	if err != nil {
 		return badRequest("the version is not a number")
 	}
 	r, err := s.Tables.Version(req.Context(), v)
+	if errors.Is(err, platform.ErrNotFound) {
+		return problem(http.StatusNotFound, api.CodeNotFound, fmt.Sprintf("the history has no version %d", v))
+	}
 	if err != nil {
 		return err
 	}
@@ -59,7 +70,7 @@
 	}
 	records, err := s.Tables.History(req.Context(), before, limit)
 	if err != nil {
-		return err
+		return tableError(err)
 	}
 	list := make([]api.Version, len(records))
 	for i, r := range records {
@@ -144,7 +155,7 @@
 	if version == 0 {
 		r, err := s.Tables.Get(req.Context())
 		if err != nil {
-			return err
+			return tableError(err)
 		}
 		version = r.Version
 	}
@@ -211,6 +222,3 @@
 }
 
 var _ Tables = (*tablestore.Tables)(nil)
-
-// notFound says what does not exist.
-func notFound(what string) error { return fmt.Errorf("%s: %w", what, platform.ErrNotFound) }
--- /dev/null
+++ b/table/tablestore/model_test.go
@@ -0,0 +1,135 @@
+package tablestore_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/table/tablestore"
+)
+
+// fault is what happens to one write of table/current.
+type fault int
+
+const (
+	none fault = iota
+	lostBefore
+	lostAfter
+	down
+	// overtakenBefore and overtakenAfter lose the reply and let another operator write in between.
+	overtakenBefore
+	overtakenAfter
+)
+
+// TestOutcomes guards against a version that was reported as accepted but is
+// missing, one that was reported as refused but exists, and a version that
+// falls or is skipped, under lost replies, outages and racing operators.
+func TestOutcomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newFakeStore()
+		var faults []fault
+		next := func() fault {
+			if len(faults) == 0 {
+				return none
+			}
+			f := faults[0]
+			faults = faults[1:]
+			return f
+		}
+		accepted := map[uint64]float64{}
+		other := 1000.0
+		overtake := func() {
+			before, after := store.before, store.after
+			store.before, store.after = nil, nil
+			defer func() { store.before, store.after = before, after }()
+			var base uint64
+			if r, err := tablesFor(store).Get(ctx); err == nil {
+				base = r.Version
+			}
+			other++
+			if r, err := apply(tablesFor(store), base, 1, other); err == nil {
+				accepted[r.Record.Version] = other
+			}
+		}
+		var now fault
+		store.before = func() error {
+			if now = next(); now == overtakenBefore {
+				overtake()
+			}
+			return map[fault]error{lostBefore: platform.ErrOutcomeUnknown, overtakenBefore: platform.ErrOutcomeUnknown, down: platform.ErrUnavailable}[now]
+		}
+		store.after = func() error {
+			if now == overtakenAfter {
+				store.mu.Unlock()
+				overtake()
+				store.mu.Lock()
+			}
+			return map[fault]error{lostAfter: platform.ErrOutcomeUnknown, overtakenAfter: platform.ErrOutcomeUnknown}[now]
+		}
+
+		operators := []*tablestore.Tables{tablesFor(store), tablesFor(store)}
+		var highest uint64
+		refused := map[float64]bool{}
+		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			faults = rapid.SliceOfN(rapid.SampledFrom([]fault{none, lostBefore, lostAfter, down, overtakenBefore, overtakenAfter}), 0, 3).Draw(t, "faults")
+			base := rapid.Uint64Range(max(highest, 1)-1, highest).Draw(t, "base")
+			weight := float64(step + 2) // differs in every step
+			r, err := apply(operators[rapid.IntRange(0, 1).Draw(t, "operator")], base, 1, weight)
+			switch {
+			case err == nil:
+				if r.Record.Version <= highest {
+					t.Fatalf("version %d after %d", r.Record.Version, highest)
+				}
+				accepted[r.Record.Version] = weight
+			case !errors.Is(err, platform.ErrOutcomeUnknown):
+				refused[weight] = true
+			}
+			if current, err := tablesFor(store).Get(ctx); err == nil {
+				if current.Version < highest {
+					t.Fatalf("version %d after %d", current.Version, highest)
+				}
+				highest = current.Version
+			}
+		}
+		verify(t, store, highest, accepted, refused)
+	})
+}
+
+func tablesFor(store *fakeStore) *tablestore.Tables {
+	return tablestore.New(store, tablestore.Options{Clock: immediately{clockwork.NewRealClock()}})
+}
+
+func verify(t *rapid.T, store *fakeStore, highest uint64, accepted map[uint64]float64, refused map[float64]bool) {
+	tables := tablesFor(store)
+	for v := uint64(1); v <= highest; v++ {
+		r, err := tables.Version(ctx, v)
+		if err != nil {
+			t.Fatalf("version %d is missing: %v", v, err)
+		}
+		weight := r.Table.Rows[1].Weight
+		if w, ok := accepted[v]; ok && w != weight {
+			t.Fatalf("version %d has weight %v, accepted with %v", v, weight, w)
+		}
+		if refused[weight] {
+			t.Fatalf("version %d has the refused weight %v", v, weight)
+		}
+		delete(accepted, v)
+	}
+	if len(accepted) > 0 {
+		t.Fatalf("accepted versions are missing: %v", accepted)
+	}
+}
+
+// immediately is a clock whose waits end at once.
+type immediately struct{ clockwork.Clock }
+
+// After implements clockwork.Clock.
+func (immediately) After(time.Duration) <-chan time.Time {
+	c := make(chan time.Time)
+	close(c)
+	return c
+}
