--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -49,7 +49,7 @@
 	12: entry[ownership.Proposal](urgent, false),
 	13: entry[ownership.ProposalAck](urgent, false),
 	14: entry[ownership.ControlEnded](urgent, false),
-	15: entry[ownership.TableRequest](low, true),
+	15: entry[ownership.TableRequest](low, false),
 	16: entry[ownership.TableUpdate](urgent, false),
 }
 
