Complete services and rows, and say whose state is shown

Cause: in a trial with three daemons an instance showed targets of other controllers as unknown in red, which looks like a fault. Change: unknown states are not marked and explain says who knows them; the shell completion proposes services and rows; the page of the tool says which instance knows what. Conclusion: the tool's text matches what an instance can know.

--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -33,6 +33,7 @@
   boragegate table edit route/r16 --add address=10.0.1.16:8080 zone=pest slots=6
   boragegate table edit route/r7 --remove
   boragegate table edit route prefer=stability`,
+		ValidArgsFunction: a.completeEntry,
 		Args: func(_ *cobra.Command, args []string) error {
 			if len(args) == 0 {
 				return usagef("expected a row or service and its fields")
--- a/internal/cli/services.go
+++ b/internal/cli/services.go
@@ -12,10 +12,14 @@
 
 func (a *app) servicesCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:     "services [SERVICE]",
-		Short:   "Show services and targets with load against weight",
-		Example: "  boragegate services\n  boragegate services route -o json",
-		Args:    atMost(1, "at most one service"),
+		Use:   "services [SERVICE]",
+		Short: "Show services and targets with load against weight",
+		Long: `Show services and targets as the instance that answers knows them. The state of a
+target is known to its controller, pending moves to the planner of the cell; other
+instances show unknown and 0. "boragegate instances" names the planner.`,
+		Example:           "  boragegate services\n  boragegate services route -o json",
+		Args:              atMost(1, "at most one service"),
+		ValidArgsFunction: a.completeService,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			query := url.Values{}
 			if len(args) == 1 {
@@ -58,7 +62,7 @@
 func (a *app) printTargets(targets []api.Target) error {
 	g := &grid{header: []string{"TARGET", "ZONE", "ADDRESS", "STATE", "WEIGHT", "LOAD", "USED", "SLOTS", "QUEUED", "PARTITIONS", "CONTROLLER", "TERM"}}
 	for _, t := range targets {
-		g.add(text(t.Name), text(t.Zone), text(t.Address), badIf(t.State != "held", text(t.State)), percent(t.WeightShare),
+		g.add(text(t.Name), text(t.Zone), text(t.Address), badIf(t.State != "held" && t.State != "unknown", text(t.State)), percent(t.WeightShare),
 			percent(t.LoadShare), num(t.InUse), num(t.Slots), num(t.Queued), num(t.Partitions), text(t.Controller), num(t.Term))
 	}
 	return a.printGrid(g)
@@ -66,10 +70,11 @@
 
 func (a *app) ownersCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:     "owners SERVICE",
-		Short:   "Show which target owns which partitions",
-		Example: "  boragegate owners route",
-		Args:    exactly(1, "one service"),
+		Use:               "owners SERVICE",
+		Short:             "Show which target owns which partitions",
+		Example:           "  boragegate owners route",
+		Args:              exactly(1, "one service"),
+		ValidArgsFunction: a.completeService,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return show(a, cmd, api.PathOwners, url.Values{"service": args}, a.printOwners)
 		},
@@ -104,16 +109,25 @@
 
 func (a *app) explainCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:     "explain SERVICE KEY",
-		Short:   "Explain where a key goes and why",
-		Example: "  boragegate explain route district-7",
-		Args:    exactly(2, "a service and a key"),
+		Use:               "explain SERVICE KEY",
+		Short:             "Explain where a key goes and why",
+		Example:           "  boragegate explain route district-7",
+		Args:              exactly(2, "a service and a key"),
+		ValidArgsFunction: a.completeService,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return show(a, cmd, api.PathExplain, url.Values{"service": {args[0]}, "key": {args[1]}}, a.printExplanation)
 		},
 	}
 }
 
+// targetState says what the instance that answers knows of a target.
+func targetState(e api.Explanation) string {
+	if e.State == "unknown" {
+		return fmt.Sprintf("the state of target %s is known to its controller only", e.Target)
+	}
+	return fmt.Sprintf("target %s is %s", e.Target, e.State)
+}
+
 func (a *app) printExplanation(e api.Explanation) error {
 	lines := []string{
 		fmt.Sprintf("key %q of service %s hashes to partition %d", e.Key, e.Service, e.Partition),
@@ -123,7 +137,7 @@
 	} else {
 		lines = append(lines,
 			fmt.Sprintf("partition %d is owned by target %s (%s, zone %s) since assignment %d", e.Partition, e.Target, e.Address, e.Zone, e.Epoch),
-			fmt.Sprintf("target %s is %s", e.Target, e.State),
+			targetState(e),
 			fmt.Sprintf("requests go through instance %s (zone %s), controller with term %d", e.Controller, e.ControllerZone, e.Term))
 	}
 	if e.Provisional {
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -124,7 +124,7 @@
 	s := newSession(t)
 	for _, line := range []string{
 		"status", "instances", "services", "owners route", "explain route district-7", "events", "events --limit 1 -o json",
-		"services route -o json", "instances forget i3 --yes", "audit", "version",
+		"services route -o json", "__complete table edit route/", "__complete owners r", "instances forget i3 --yes", "audit", "version",
 	} {
 		s.run(line)
 	}
