Write the audit trail from the daemon

Cause: changes of the table and of ownership must be readable after any instance is gone. Change: the daemon runs internal/audit and enters the audited records of the control core and the operators' changes.

--- a/internal/daemon/auditlog.go
+++ b/internal/daemon/auditlog.go
@@ -3,13 +3,37 @@
 import (
 	"context"
 
+	"github.com/boragegate/boragegate/internal/audit"
 	"github.com/boragegate/boragegate/internal/operator/api"
+	"github.com/boragegate/boragegate/ownership"
 )
 
+// record takes a record of the control core: all go to the log, changes of
+// ownership to the audit trail as well.
+func (i *Instance) record(rec ownership.Record) {
+	i.logger.Info().Str("event", rec.Event).Fields(rec.Fields).Send()
+	if rec.Audit {
+		i.trail.Add(audit.FromRecord(rec))
+	}
+}
+
 // Audit implements operator.Daemon.
-func (i *Instance) Audit(context.Context, uint64, int) ([]api.AuditEntry, error) { return nil, nil }
+func (i *Instance) Audit(ctx context.Context, before uint64, limit int) ([]api.AuditEntry, error) {
+	entries, err := audit.Read(ctx, i.opts.Store, i.opts.Cell, audit.Filter{Before: before, Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	list := make([]api.AuditEntry, len(entries))
+	for n, e := range entries {
+		list[n] = api.AuditEntry{
+			Sequence: e.Sequence, Time: e.Time, Instance: e.Instance, Operator: e.Who, Event: e.Event, Fields: e.AllFields(),
+		}
+	}
+	return list, nil
+}
 
 // RecordAudit implements operator.Daemon.
 func (i *Instance) RecordAudit(operator, event string, fields map[string]string) {
-	i.logger.Info().Str("event", event).Str("operator", operator).Any("fields", fields).Send()
+	i.logger.Info().Str("event", event).Str("operator", operator).Send()
+	i.trail.Add(audit.FromFields(operator, event, fields))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"github.com/boragegate/boragegate/internal/audit"
 	"github.com/boragegate/boragegate/internal/backend"
 	"github.com/boragegate/boragegate/internal/control"
 	"github.com/boragegate/boragegate/internal/gateway"
@@ -77,8 +78,6 @@
 	Operators map[[sha256.Size]byte]string
 	// KnownZones are the zones that the table may name; nil accepts every zone.
 	KnownZones []string
-	// Record takes the records of the control core; nil logs them.
-	Record control.Recorder
 }
 
 // Instance is one running instance of boragegate.
@@ -100,6 +99,7 @@
 
 	lists   listeners
 	tables  *tablestore.Tables
+	trail   *audit.Trail
 	started time.Time
 
 	t        tomb.Tomb
@@ -114,7 +114,10 @@
 		i.lists.close()
 		return nil, err
 	}
-	i.assemble()
+	if err := i.assemble(); err != nil {
+		i.lists.close()
+		return nil, err
+	}
 	return i, nil
 }
 
@@ -143,10 +146,18 @@
 	return err
 }
 
-func (i *Instance) assemble() {
+func (i *Instance) assemble() error {
+	var err error
 	cfg := ownership.DefaultConfig()
 	cfg.Cell = i.opts.Cell
 	cfg.Incarnation = uuid.NewString()
+	i.trail, err = audit.New(audit.Config{
+		Store: i.opts.Store, Trail: i.opts.Cell, Instance: i.opts.ID, Incarnation: cfg.Incarnation,
+		Logger: i.logger, Metrics: i.metrics,
+	})
+	if err != nil {
+		return err
+	}
 	cfg.Self = i.self()
 	cfg.NewPolicy = func(string) placement.Policy { return i.opts.Policy.NewPolicy() }
 	i.runner = control.New(control.Config{
@@ -163,6 +174,7 @@
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
 	})
 	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
+	return nil
 }
 
 // admissions lets the control loop stop the admission of requests.
@@ -206,13 +218,6 @@
 	}
 }
 
-func (i *Instance) record(rec ownership.Record) {
-	if i.opts.Record != nil {
-		i.opts.Record(rec)
-	}
-	i.logger.Info().Str("event", rec.Event).Fields(rec.Fields).Send()
-}
-
 // Start starts to take part in the cell and to serve.
 func (i *Instance) Start(ctx context.Context) error {
 	if r, ok := i.opts.Store.(platform.Registrar); ok {
@@ -229,6 +234,7 @@
 		i.t.Go(i.probe)
 		i.t.Go(i.reportLoad)
 		i.t.Go(i.transferRecords)
+		i.t.Go(func() error { return i.trail.Run(&i.t) })
 		i.serve(encrypt(i.lists.caller, i.callerKeys), i.gateway.CallerHandler())
 		i.serve(encrypt(i.lists.operator, i.operatorKeys), i.operatorHandler())
 		i.serve(encrypt(i.lists.forward, i.keys), i.gateway.ForwardHandler())
