--- a/placement/history.go
+++ b/placement/history.go
@@ -40,8 +40,8 @@
 // maxHoldDoublings bounds the hold-down of a target that is lost again and again: 8 times the first.
 const maxHoldDoublings = 3
 
-// observe notes whether the target can receive partitions. first is the first
-// plan of this policy, at which nothing is known of earlier losses.
+// observe notes whether the target can receive partitions. first says that
+// nothing is known of earlier losses or that no partition has an owner yet.
 func (h *history) observe(now time.Duration, t Target, first bool, th thresholds) {
 	h.seen = now
 	up := t.Usable && !t.Lost && !t.Leaving
@@ -81,11 +81,16 @@
 	return now-h.overSince >= confirm && h.reports > h.overReports && !h.doubted
 }
 
-// changed notes the target's limits and returns whether the shares of others
-// shrink by them. A target that stops receiving does not count: what it had is
-// placed where there is room, and further moves would be churn.
-func (h *history) changed(n *node) bool {
-	changed := n.receives && (!h.receiving || n.Weight != h.weight || n.Slots != h.slots)
+// emptyPart is the part of its share below which a target that starts to receive is to be filled up.
+const emptyPart = 0.5
+
+// changed notes the target's limits and returns whether targets are to be
+// filled up for it. A target that stops receiving does not count: what it had is
+// placed where there is room, and further moves would be churn. Nor does one that
+// comes back with its partitions, as all targets do for a new planner.
+func (h *history) changed(n *node, share float64) bool {
+	joined := !h.receiving && n.load < emptyPart*share
+	limits := h.receiving && (n.Weight != h.weight || n.Slots != h.slots)
 	h.receiving, h.weight, h.slots = n.receives, n.Weight, n.Slots
-	return changed
+	return n.receives && (joined || limits)
 }
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// outlier is the deviation from the smoothed load, in standard deviations of
-	// one report, from which on a report needs a second one to count. 6 keeps
-	// false alarms below one in a year at 65,536 partitions and 10 s reports.
-	outlier = 6
 	// minReportGap bounds how often a target's reports are sampled, so that a
 	// burst of reports does not count as several confirmations.
 	minReportGap = 5 * time.Second
@@ -42,6 +38,8 @@
 	// the pause of the hand-over and is not used.
 	epoch  []uint64
 	settle []bool
+	// outlier is Settings.Outlier.
+	outlier float64
 	// dispersion is the variance of a report relative to its mean.
 	dispersion float64
 	// count is the number of reports in the smoothed load.
@@ -54,9 +52,10 @@
 	known  bool
 }
 
-func newLoads(n int) *loads {
+func newLoads(n int, outlier float64) *loads {
 	l := &loads{
-		smooth: make([]float64, n), raw: make([]float64, n), odd: make([]float64, n),
+		outlier: outlier,
+		smooth:  make([]float64, n), raw: make([]float64, n), odd: make([]float64, n),
 		oddRun: make([]int8, n), epoch: make([]uint64, n), settle: make([]bool, n), count: make([]uint16, n),
 	}
 	for i := range l.smooth {
@@ -92,8 +91,8 @@
 	l.sumTargets(in.Load, b, samples)
 	for i := range samples {
 		if s := &samples[i]; s.fresh {
-			if s.raw == 0 && s.smooth > 0 {
-				s.fresh = false // A target without any load is a missing report, not an idle target.
+			if s.raw == 0 {
+				s.fresh = false // A target without any load has not reported, or there is nothing to balance.
 				continue
 			}
 			l.classify(in.Now, b.nodes[i].hist, s, tau)
@@ -163,12 +162,12 @@
 
 // outlies returns the direction in which a load is outside the noise, or 0.
 func (l *loads) outlies(p int, x float64) int8 {
-	return l.direction(x-l.smooth[p], max(l.smooth[p], x/outlier))
+	return l.direction(x-l.smooth[p], max(l.smooth[p], x/l.outlier))
 }
 
 func (l *loads) direction(d, mean float64) int8 {
 	switch {
-	case l.dispersion == 0 || d*d <= outlier*outlier*l.dispersion*mean:
+	case l.dispersion == 0 || d*d <= l.outlier*l.outlier*l.dispersion*mean:
 		return 0
 	case d > 0:
 		return 1
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -10,7 +10,11 @@
 	"github.com/boragegate/boragegate/placement"
 )
 
+// suite is the test that runs the specs; golden files are compared under it.
+var suite *testing.T
+
 func TestPlacement(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "placement")
 }
@@ -42,6 +46,11 @@
 // step plans once and applies the urgent changes and the moves.
 func (r *run) step() placement.Plan {
 	plan := r.policy.Plan(r.in)
+	r.apply(plan)
+	return plan
+}
+
+func (r *run) apply(plan placement.Plan) {
 	changes := append([]placement.Change{}, plan.Urgent...)
 	for _, m := range plan.Moves {
 		changes = append(changes, m.Change)
@@ -49,7 +58,6 @@
 	if len(changes) > 0 {
 		r.in.Assignment = r.in.Assignment.With(r.in.Assignment.Version+1, changes)
 	}
-	return plan
 }
 
 // counts returns the number of partitions of each target.
--- a/placement/placementtest/bounds_test.go
+++ b/placement/placementtest/bounds_test.go
@@ -135,4 +135,45 @@
 		Expect(d.Churn).To(BeNumerically("<=", boundChurn))
 		Expect(d.Worst).To(BeNumerically("<", goal))
 	})
+
+	It("hold under noise only with every part of the damping (guards against damping that does nothing)", func() {
+		const off = 1e-9
+		parts := []struct {
+			name string
+			set  placement.Settings
+		}{
+			{"all", placement.Settings{}},
+			{"no smoothing", placement.Settings{Smoothing: 1}},
+			{"no outlier check", placement.Settings{Outlier: 1e9}},
+			{"no noise margin", placement.Settings{NoiseMargin: off}},
+			{"no confirmation", placement.Settings{Confirm: 1, StableConfirm: 1}},
+			{"none", placement.Settings{
+				Smoothing: 1, Outlier: 1e9, NoiseMargin: off, Confirm: 1, StableConfirm: 1,
+			}},
+		}
+		fmt.Printf("%-38s %-18s %10s %12s\n", "fleet", "damping", "quiet hour", "alternating")
+		for _, f := range fleets()[:2] {
+			var results []Damping
+			for _, p := range parts {
+				d := MeasureDamping(f, p.set, 1)
+				results = append(results, d)
+				fmt.Printf("%-38s %-18s %10d %12d\n", f.Name, p.name, d.Quiet, d.Alternating)
+			}
+			all, none := results[0], results[len(results)-1]
+			Expect(all.Quiet).To(BeZero(), f.Name)
+			Expect(none.Quiet).To(BeNumerically(">", 0), f.Name)
+			Expect(all.Alternating).To(BeNumerically("<", none.Alternating), f.Name)
+		}
+	})
+
+	It("hold when a new planner takes over without history (guards against churn at every change of planner)", func() {
+		for _, f := range fleets()[:2] {
+			s := NewSim(1, placement.NewWeighted(placement.Settings{}), f.Traffic(1), f.Targets(), f.Stability)
+			s.Run(warmUp)
+			s.Policy, s.In.Load = placement.NewWeighted(placement.Settings{}), nil
+			s.Reset()
+			s.Run(warmUp)
+			Expect(s.Count()).To(BeZero(), f.Name)
+		}
+	})
 })
--- a/placement/placementtest/scenario.go
+++ b/placement/placementtest/scenario.go
@@ -199,3 +199,29 @@
 	s.Run(9 * Step)
 	return least + s.keys("")*s.part(i)
 }
+
+// Damping is what a policy moves without need.
+type Damping struct {
+	// Quiet counts moves in an hour with noise, stale and misleading reports
+	// only, Alternating in an hour in which the hottest keys go to and fro each minute.
+	Quiet, Alternating int
+}
+
+// MeasureDamping counts needless moves with the settings.
+func MeasureDamping(f Fleet, set placement.Settings, seed uint64) Damping {
+	s := NewSim(seed, placement.NewWeighted(set), f.Traffic(seed), f.Targets(), f.Stability)
+	s.Run(warmUp)
+	s.Reset()
+	s.Stale, s.Misleading = 0.1, 0.02
+	s.Run(time.Hour)
+	d := Damping{Quiet: s.Count()}
+	s.Stale, s.Misleading = 0, 0
+	s.Reset()
+	for range 60 {
+		s.Traffic.Swap(hotKeys, 1000)
+		s.rates = s.Traffic.Rates()
+		s.Run(time.Minute)
+	}
+	d.Alternating = s.Count()
+	return d
+}
--- a/placement/placementtest/traffic.go
+++ b/placement/placementtest/traffic.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// Swap exchanges the k most popular keys with the k at a rank. A second call restores them.
+func (t *Traffic) Swap(k, rank int) {
+	for i := range k {
+		t.head[i], t.head[rank+i] = t.head[rank+i], t.head[i]
+	}
+}
+
 // Rates returns the expected load of each partition in slots.
 func (t *Traffic) Rates() []float64 {
 	rates := make([]float64, len(t.tail))
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -7,7 +7,7 @@
 )
 
 // rebalancer finds single moves from nodes above their share to nodes below it.
-// Each move lowers the sum of squared deviations relative to the shares, so the
+// Each move lowers the sum of squared deviations from the shares, so the
 // moves cannot go round in circles.
 type rebalancer struct {
 	b         *board
@@ -38,16 +38,25 @@
 		tolerance: tolerance, fillUp: fillUp, mean: b.total / float64(max(1, len(b.cost))),
 	}
 	for _, i := range donors {
-		r.donors.set(i, -b.nodes[i].fill())
+		r.donors.set(i, r.urgency(i))
 	}
 	for i := range b.nodes {
-		if b.nodes[i].receives {
-			r.receivers.set(i, b.nodes[i].fill())
+		if n := &b.nodes[i]; n.receives {
+			r.receivers.set(i, n.load-n.share)
 		}
 	}
 	return r
 }
 
+// urgency ranks donors: overloaded ones by their fill, else by the excess.
+func (r *rebalancer) urgency(i int) float64 {
+	n := &r.b.nodes[i]
+	if r.fillUp {
+		return n.share - n.load
+	}
+	return -n.fill()
+}
+
 // slack is the deviation in cost at which a node counts as balanced. It is at
 // least half a partition, since whole partitions move.
 func (r *rebalancer) slack(n *node) float64 { return max(r.tolerance*n.share, r.mean/2) }
@@ -79,12 +88,11 @@
 }
 
 func (r *rebalancer) rank(i int) {
-	fill := r.b.nodes[i].fill()
 	if r.donors.pos[i] >= 0 {
-		r.donors.set(i, -fill)
+		r.donors.set(i, r.urgency(i))
 	}
-	if r.receivers.pos[i] >= 0 {
-		r.receivers.set(i, fill)
+	if n := &r.b.nodes[i]; r.receivers.pos[i] >= 0 {
+		r.receivers.set(i, n.load-n.share)
 	}
 }
 
@@ -96,10 +104,13 @@
 		return -1
 	}
 	excess, room := donor.load-donor.share, receiver.share-receiver.load
-	// A move lowers the sum of squared deviations if its cost is below gain.
-	gain := (excess/donor.share + room/receiver.share) / (1/donor.share + 1/receiver.share)
+	// A move lowers the sum of squared deviations if its cost is below the sum of
+	// excess and room. Relief stays below half of it, so that it does not only
+	// exchange the parts of donor and receiver.
+	gain := (excess + room) / 2
 	i := 0
 	if r.fillUp {
+		gain *= 2
 		i = r.nearest(list, min(r.mean, gain))
 	} else {
 		i = max(0, r.last(list, min(excess, room+r.overfill*receiver.share)))
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -11,18 +11,15 @@
 	// relieveTolerance is the same after a move of load. It is well below the
 	// smallest Enter, so that noise does not trigger the next move.
 	relieveTolerance = 0.005
-	// noiseFactor is the number of standard deviations of the smoothed load by
-	// which a target must exceed its share: at 4, a quiet year has less than one false alarm.
-	noiseFactor = 4
 )
 
 // rebalance fills up targets below their share after shares have changed.
 func (r *round) rebalance() {
-	if !r.growing || !r.ready() {
+	if !r.filling() {
 		return
 	}
 	rb := newRebalancer(r.b, growTolerance, true, r.receivers())
-	if r.drain(rb, &r.moves, func(int32) string { return ReasonWeight }) && len(r.started) == 0 && r.loads.known {
+	if r.drain(rb, &r.moves, func(int32) string { return ReasonWeight }) && len(r.started) == 0 {
 		r.growing = false
 	}
 }
@@ -52,7 +49,7 @@
 
 // relieve moves load off targets that have been above their share for long enough.
 func (r *round) relieve() {
-	if !r.loads.known || r.growing && r.ready() {
+	if !r.loads.known || r.filling() {
 		return
 	}
 	confirmed, waiting := r.overloaded()
@@ -76,7 +73,7 @@
 			continue
 		}
 		excess := n.load - n.share
-		limit := max(r.th.enter*n.share, mean) + noiseFactor*noise[i]
+		limit := max(r.th.enter*n.share, mean) + r.set.NoiseMargin*noise[i]
 		confirm := r.th.confirm
 		if excess > r.th.severe*n.share {
 			confirm = r.th.severeConfirm
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -30,6 +30,13 @@
 	// Smoothing is the time constant of the load estimate. Default 5 min.
 	// Larger changes are followed at once, see loads.
 	Smoothing time.Duration
+	// Outlier is the deviation from the smoothed load, in standard deviations of
+	// one report, from which on a report needs a second one to count. Default 6,
+	// which keeps false alarms below one in a year at 65,536 partitions and 10 s reports.
+	Outlier float64
+	// NoiseMargin is the number of standard deviations of the smoothed load by
+	// which a target must exceed its share on top of Enter. Default 4.
+	NoiseMargin float64
 }
 
 // withDefaults fills the zero fields.
@@ -47,6 +54,8 @@
 	defaultTo(&s.ReturnHold, 30*time.Second)
 	defaultTo(&s.StableReturnHold, 120*time.Second)
 	defaultTo(&s.Smoothing, 5*time.Minute)
+	defaultTo(&s.Outlier, 6)
+	defaultTo(&s.NoiseMargin, 4)
 	return s
 }
 
@@ -69,7 +78,8 @@
 		confirm: s.Confirm, severeConfirm: s.Confirm, joinHold: s.JoinHold, returnHold: s.ReturnHold,
 	}
 	if stability {
-		th.budget, th.enter, th.confirm, th.returnHold = s.StableBudget, s.StableEnter, s.StableConfirm, s.StableReturnHold
+		th.budget, th.enter, th.confirm = s.StableBudget, s.StableEnter, s.StableConfirm
+		th.returnHold = s.StableReturnHold
 	}
 	return th
 }
--- a/placement/weighted.go
+++ b/placement/weighted.go
@@ -17,7 +17,8 @@
 	// growing says that shares have changed and targets below theirs are to be filled up.
 	growing bool
 	// inherited says that the first plan found owners, begun is its time, and
-	// settled says that the load estimate has been precise once.
+	// settled says that targets have been filled up once with a precise load
+	// estimate, here or by an earlier planner.
 	inherited, settled bool
 	begun              time.Duration
 	// started are moves that were handed out and are not visible in the assignment yet.
@@ -57,6 +58,8 @@
 	th   thresholds
 	b    *board
 	plan Plan
+	// owned says that some partition has an owner.
+	owned bool
 }
 
 // Plan implements Policy. Each move is handed out once; it is planned again if
@@ -66,8 +69,9 @@
 	r := &round{Weighted: w, in: in, th: w.set.thresholds(in.PreferStability)}
 	w.fit(len(in.Assignment.Owner))
 	r.b = newBoard(in, make([]float64, len(in.Assignment.Owner)))
+	r.owned = slices.ContainsFunc(in.Assignment.Owner, func(o uint16) bool { return o != NoOwner })
 	if !w.planned {
-		w.begun, w.inherited = in.Now, slices.ContainsFunc(in.Assignment.Owner, func(o uint16) bool { return o != NoOwner })
+		w.begun, w.inherited, w.settled = in.Now, r.owned, r.owned
 	}
 	r.observe()
 	r.applyStarted()
@@ -88,7 +92,7 @@
 	if len(w.ones) == n {
 		return
 	}
-	w.loads, w.reasons = newLoads(n), newReasons(n)
+	w.loads, w.reasons = newLoads(n, w.set.Outlier), newReasons(n)
 	w.ones = make([]float64, n)
 	for i := range w.ones {
 		w.ones[i] = 1
@@ -103,7 +107,7 @@
 			n.hist = &history{}
 			r.targets[n.Name] = n.hist
 		}
-		n.hist.observe(r.in.Now, n.Target, !r.planned, r.th)
+		n.hist.observe(r.in.Now, n.Target, !r.planned || !r.owned, r.th)
 	}
 	for name, h := range r.targets {
 		if r.in.Now-h.seen > historyKept {
@@ -154,10 +158,14 @@
 // admit decides which targets receive partitions, and sets the shares.
 func (r *round) admit() {
 	any := false
+	weights := 0.0
 	for i := range r.b.nodes {
 		n := &r.b.nodes[i]
 		n.receives = n.eligible() && !n.hist.held(r.in.Now)
 		any = any || n.receives
+		if n.eligible() {
+			weights += n.Weight
+		}
 	}
 	for i := range r.b.nodes {
 		n := &r.b.nodes[i]
@@ -165,7 +173,7 @@
 			n.receives = n.eligible()
 		}
 		n.frozen = !n.receives && !n.Lost && !n.Leaving && n.Weight > 0
-		if n.hist.changed(n) && r.planned {
+		if n.hist.changed(n, r.b.total*n.Weight/weights) && r.planned {
 			r.growing = true
 		}
 	}
@@ -173,17 +181,17 @@
 	r.b.setShares(r.loads.known)
 }
 
-// mature starts to fill up targets by number of keys while the load is not
-// known, and once by load when the estimate is precise.
+// mature starts to fill up targets once by load when the estimate is precise.
 func (r *round) mature() {
-	switch {
-	case !r.loads.known:
-		r.growing = true
-	case !r.settled && r.loads.rounds >= settledRounds:
+	if r.loads.known && !r.settled && r.loads.rounds >= settledRounds {
 		r.growing, r.settled = true, true
 	}
 }
 
+// filling says that targets below their share are filled up: after a change of
+// shares, and always by number of keys while the load is not known.
+func (r *round) filling() bool { return r.ready() && (r.growing || !r.loads.known) }
+
 // ready says that costs are good enough for filling up. A new planner that finds
 // owners waits for load reports, since the owners may have been chosen by load.
 func (r *round) ready() bool {
--- a/placement/weighted_test.go
+++ b/placement/weighted_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
 
 	"github.com/boragegate/boragegate/placement"
 )
@@ -71,4 +72,88 @@
 			}
 		}
 	})
+
+	DescribeTable("moves nothing back while a returned target is held back (guards against moves to and fro)",
+		func(stability bool, hold time.Duration) {
+			r := newRun(1024, targets(15, 4))
+			r.in.PreferStability = stability
+			r.step()
+			r.in.Targets[3].Lost, r.in.Targets[3].Usable = true, false
+			Expect(r.step().Urgent).NotTo(BeEmpty())
+			r.in.Now += 3 * time.Second
+			r.in.Targets[3].Lost, r.in.Targets[3].Usable = false, true
+			back := r.in.Now
+			for ; r.in.Now < back+hold; r.in.Now += time.Second {
+				plan := r.step()
+				Expect(plan.Urgent).To(BeEmpty())
+				Expect(plan.Moves).To(BeEmpty())
+				Expect(plan.Deferred).To(HaveEach(HaveField("Reason", placement.ReasonHoldDown)))
+				Expect(plan.Deferred).NotTo(BeEmpty())
+			}
+			for range 12 {
+				r.in.Now += 10 * time.Second
+				r.step()
+			}
+			Expect(r.counts()["t003"]).To(BeNumerically("~", 68, 1))
+		},
+		Entry("availability", false, 30*time.Second),
+		Entry("stability", true, 120*time.Second),
+	)
+
+	It("moves nothing when a target cannot be reached for a moment but is not lost (guards against giving away held partitions)", func() {
+		r := newRun(1024, targets(15, 4))
+		r.step()
+		for range 30 {
+			r.in.Now += time.Second
+			r.in.Targets[3].Usable = !r.in.Targets[3].Usable
+			Expect(r.step()).To(Equal(placement.Plan{}))
+		}
+	})
+
+	It("keeps urgent partitions out of a zone that is being lost (guards against moving them twice)", func() {
+		r := newRun(1024, targets(16, 4))
+		r.step()
+		for i := 0; i < 16; i += 4 {
+			r.in.Now += 200 * time.Millisecond
+			r.in.Targets[i].Lost, r.in.Targets[i].Usable = true, false
+			for _, u := range r.step().Urgent {
+				Expect(i == 0 || r.target(u.Target).Zone != "z0").To(BeTrue())
+			}
+		}
+	})
+
+	It("gives a target no more load than its slots allow (guards against weights that exceed limits)", func() {
+		ts := targets(4, 2)
+		ts[0].Slots = 2
+		r := newRun(400, ts)
+		r.in.Load = make([]float64, 400)
+		for round := range 60 {
+			for p := range r.in.Load {
+				r.in.Load[p] = 0.03 + 1e-6*float64((p+round)%2)
+			}
+			r.in.Now += 10 * time.Second
+			r.step()
+		}
+		// 12 slots of load in all: 85% of 2 slots for the first, the rest for the others.
+		Expect(r.counts()["t000"]).To(BeNumerically("~", 57, 1))
+	})
+
+	It("explains owners and pending moves (guards against a status page that does not say why)", func() {
+		ts := targets(4, 2)
+		w := placement.NewWeighted(placement.Settings{})
+		r := newRun(64, ts)
+		r.policy = w
+		r.in.Assignment.Owner[9], r.in.Assignment.Targets = 0, []string{"t001"}
+		r.step()
+		r.in.Targets[0].Leaving, r.in.Targets[0].Usable = true, false
+		before := r.in.Assignment
+		plan := r.step()
+		lines := ""
+		for _, p := range []int{plan.Moves[0].Partition, plan.Deferred[0].Partition, 9} {
+			lines += w.Explain(before, plan, p).String() + "\n"
+		}
+		w.Plan(r.in)
+		lines += w.Explain(r.in.Assignment, placement.Plan{}, plan.Moves[0].Partition).String() + "\n"
+		goldie.New(suite).Assert(suite, "explain", []byte(lines))
+	})
 })
