--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -33,6 +33,7 @@
   boragegate table edit route/r16 --add address=10.0.1.16:8080 zone=pest slots=6
   boragegate table edit route/r7 --remove
   boragegate table edit route prefer=stability`,
+		ValidArgsFunction: a.completeEntry,
 		Args: func(_ *cobra.Command, args []string) error {
 			if len(args) == 0 {
 				return usagef("expected a row or service and its fields")
@@ -101,7 +102,7 @@
 // apply returns the current table with the change.
 func (e edit) apply(current *table.Table, values map[string]json.RawMessage) (*table.Table, error) {
 	if current == nil {
-		current = &table.Table{}
+		return nil, usagef("there is no table yet; use \"table apply\" to make one")
 	}
 	b, err := json.Marshal(current)
 	if err != nil {
