--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -124,7 +124,7 @@
 	s := newSession(t)
 	for _, line := range []string{
 		"status", "instances", "services", "owners route", "explain route district-7", "events", "events --limit 1 -o json",
-		"services route -o json", "instances forget i3 --yes", "audit", "version",
+		"services route -o json", "__complete table edit route/", "__complete owners r", "instances forget i3 --yes", "audit", "version",
 	} {
 		s.run(line)
 	}
@@ -163,6 +163,8 @@
 	s.fake.Behind = 1000
 	check(cli.ExitNotInForce, "table wait 2 --timeout 2s")
 	check(cli.ExitNotInForce, "table wait 2 --timeout 1s -o json")
+	check(cli.ExitError, "explain none k")
+	check(cli.ExitError, "table get --version 9")
 	check(cli.ExitUnavailable, "--address 127.0.0.1:1 status")
 	s.file("token", "not-the-token-of-anybody")
 	check(cli.ExitRefused, "status")
@@ -200,14 +202,22 @@
 	s.assert("lost")
 }
 
-// TestHelp guards against a command without help or example.
+// TestHelp guards against a command without help, example or place on the reference page.
 func TestHelp(t *testing.T) {
 	s := newSession(t)
+	page, err := os.ReadFile("../../docs/reference/cli.md")
+	if err != nil {
+		t.Fatal(err)
+	}
 	var walk func(c *cobra.Command)
 	walk = func(c *cobra.Command) {
 		if c.Example == "" {
 			t.Errorf("%s has no example", c.CommandPath())
 		}
+		path := strings.TrimPrefix(c.CommandPath(), "boragegate ")
+		if !c.HasSubCommands() && !strings.Contains(string(page), "`"+path) {
+			t.Errorf("docs/reference/cli.md lacks %s", path)
+		}
 		s.run(strings.TrimPrefix(c.CommandPath()+" --help", "boragegate "))
 		for _, sub := range c.Commands() {
 			walk(sub)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"github.com/boragegate/boragegate/internal/audit"
 	"github.com/boragegate/boragegate/internal/backend"
 	"github.com/boragegate/boragegate/internal/control"
 	"github.com/boragegate/boragegate/internal/gateway"
@@ -24,6 +25,7 @@
 	"github.com/boragegate/boragegate/internal/operator"
 	"github.com/boragegate/boragegate/internal/peer"
 	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/internal/standard"
 	"github.com/boragegate/boragegate/internal/tablesync"
 	"github.com/boragegate/boragegate/ownership"
 	"github.com/boragegate/boragegate/placement"
@@ -59,6 +61,11 @@
 	// Plain turns authentication between instances off; otherwise Keys is used.
 	Plain bool
 	Keys  mtls.Files
+	// CallerKeys and OperatorKeys turn TLS on for those listeners. With an
+	// authority, the other side must show a certificate of it.
+	CallerKeys, OperatorKeys mtls.Files
+	// Policy makes placement policies.
+	Policy standard.PolicyMaker
 	// BalancerDelay is the time between failing the readiness check and the
 	// hand-over at a planned stop, in which the balancer takes notice.
 	BalancerDelay time.Duration
@@ -71,8 +78,6 @@
 	Operators map[[sha256.Size]byte]string
 	// KnownZones are the zones that the table may name; nil accepts every zone.
 	KnownZones []string
-	// Record takes the records of the control core; nil logs them.
-	Record control.Recorder
 }
 
 // Instance is one running instance of boragegate.
@@ -87,10 +92,15 @@
 	runner   *control.Runner
 	follower *tablesync.Follower
 	servers  *backend.Client
-	keys     *mtls.Material
-	lists    listeners
-	tables   *tablestore.Tables
-	started  time.Time
+	keys     *mtls.Material // nil in plain mode, like the next two
+
+	callerKeys   *mtls.Material
+	operatorKeys *mtls.Material
+
+	lists   listeners
+	tables  *tablestore.Tables
+	trail   *audit.Trail
+	started time.Time
 
 	t        tomb.Tomb
 	stopping atomic.Bool
@@ -104,21 +114,30 @@
 		i.lists.close()
 		return nil, err
 	}
-	i.assemble()
+	if err := i.assemble(); err != nil {
+		i.lists.close()
+		return nil, err
+	}
 	return i, nil
 }
 
 // open binds the listeners, so that their addresses are known.
 func (i *Instance) open() error {
-	var err error
-	if !i.opts.Plain {
-		if i.keys, err = mtls.Load(i.opts.Keys); err != nil {
+	for to, files := range map[**mtls.Material]mtls.Files{
+		&i.keys: i.opts.Keys, &i.callerKeys: i.opts.CallerKeys, &i.operatorKeys: i.opts.OperatorKeys,
+	} {
+		if files == (mtls.Files{}) {
+			continue
+		}
+		var err error
+		if *to, err = mtls.Load(files); err != nil {
 			return err
 		}
 	}
 	if err := i.lists.open(i.opts.Listen); err != nil {
 		return err
 	}
+	var err error
 	i.peers, err = peer.New(peer.Config{
 		Self: i.opts.ID, Cell: i.opts.Cell, Listen: i.opts.Listen.Peer,
 		Plain: i.opts.Plain, TLS: i.opts.Keys,
@@ -127,12 +146,20 @@
 	return err
 }
 
-func (i *Instance) assemble() {
+func (i *Instance) assemble() error {
+	var err error
 	cfg := ownership.DefaultConfig()
 	cfg.Cell = i.opts.Cell
 	cfg.Incarnation = uuid.NewString()
+	i.trail, err = audit.New(audit.Config{
+		Store: i.opts.Store, Trail: i.opts.Cell, Instance: i.opts.ID, Incarnation: cfg.Incarnation,
+		Logger: i.logger, Metrics: i.metrics,
+	})
+	if err != nil {
+		return err
+	}
 	cfg.Self = i.self()
-	cfg.NewPolicy = func(string) placement.Policy { return placement.NewWeighted(placement.Settings{}) }
+	cfg.NewPolicy = func(string) placement.Policy { return i.opts.Policy.NewPolicy() }
 	i.runner = control.New(control.Config{
 		Core: cfg, Store: i.opts.Store, Servers: i.servers, Peers: i.peers,
 		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
@@ -147,6 +174,7 @@
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
 	})
 	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
+	return nil
 }
 
 // admissions lets the control loop stop the admission of requests.
@@ -190,13 +218,6 @@
 	}
 }
 
-func (i *Instance) record(rec ownership.Record) {
-	if i.opts.Record != nil {
-		i.opts.Record(rec)
-	}
-	i.logger.Info().Str("event", rec.Event).Fields(rec.Fields).Send()
-}
-
 // Start starts to take part in the cell and to serve.
 func (i *Instance) Start(ctx context.Context) error {
 	if r, ok := i.opts.Store.(platform.Registrar); ok {
@@ -213,9 +234,10 @@
 		i.t.Go(i.probe)
 		i.t.Go(i.reportLoad)
 		i.t.Go(i.transferRecords)
-		i.serve(i.lists.caller, i.gateway.CallerHandler())
-		i.serve(i.lists.operator, i.operatorHandler())
-		i.serve(i.secure(i.lists.forward), i.gateway.ForwardHandler())
+		i.t.Go(func() error { return i.trail.Run(&i.t) })
+		i.serve(encrypt(i.lists.caller, i.callerKeys), i.gateway.CallerHandler())
+		i.serve(encrypt(i.lists.operator, i.operatorKeys), i.operatorHandler())
+		i.serve(encrypt(i.lists.forward, i.keys), i.gateway.ForwardHandler())
 		return nil
 	})
 	return nil
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -15,6 +15,10 @@
 // paused. It is several tick intervals, so a busy loop is not a pause.
 const pauseAfter = 100 * time.Millisecond
 
+// graceWindows is the number of suspension times for which a returning member is
+// acknowledged; see membership.Config.GraceFor.
+const graceWindows = 3
+
 // Core is the control core of one instance. See the package comment.
 type Core struct {
 	cfg Config
@@ -36,6 +40,7 @@
 	cellProvisional bool
 	cellProposal    *Cell
 	cellSlot        *slot
+	terms           map[string]uint64 // highest term heard of, by target
 	services        map[string]*serviceState
 	order           []*serviceState // services by name
 	ops             map[uint64]*slot
@@ -57,11 +62,12 @@
 	cfg.Self.Incarnation = cfg.Incarnation
 	c := &Core{
 		cfg: cfg, rows: map[string]table.Row{}, instances: map[string]platform.InstanceState{},
-		lastStamp: map[string]lease.Stamp{}, services: map[string]*serviceState{},
+		lastStamp: map[string]lease.Stamp{}, terms: map[string]uint64{}, services: map[string]*serviceState{},
 		ops: map[uint64]*slot{}, held: map[string]*holding{}, returning: true,
 		contact: membership.New(membership.Config{
 			Self: cfg.Self.ID, ContactWindow: cfg.ContactWindow, SilenceAfter: cfg.SilenceAfter,
 			SuspendFor: cfg.SuspendFor, ReportValid: cfg.ReportValid, PauseAfter: pauseAfter,
+			ClaimAfter: cfg.HeartbeatInterval, GraceFor: graceWindows * cfg.SuspendFor,
 			KeepAcknowledging: cfg.faults.noSuspension,
 		}),
 		cellSlot: &slot{kind: kindCell, name: cfg.Cell},
--- a/ownership/heartbeat.go
+++ b/ownership/heartbeat.go
@@ -17,7 +17,7 @@
 		c.returning = true
 		c.viewDirty = true
 		c.record(false, "contact.lost")
-	case in && c.returning && c.contact.NewestVersion(c.now) <= c.cell.Version:
+	case in && c.returning && c.contact.NewestVersion(c.now) <= c.knownCell():
 		c.returning = false
 		c.viewDirty = true
 		c.record(false, "contact.gained", "cell_version", c.cell.Version)
@@ -25,6 +25,15 @@
 	c.extendContact()
 }
 
+// knownCell is the version up to which a returning member knows all decisions. A
+// planner knows its own proposals, which only it can put into force.
+func (c *Core) knownCell() uint64 {
+	if c.plan != nil {
+		return c.highestCell()
+	}
+	return c.cell.Version
+}
+
 func (c *Core) extendContact() {
 	until := lease.Instant(-1)
 	if !c.returning {
@@ -44,7 +53,7 @@
 	c.nextBeat = max(c.nextBeat+c.cfg.HeartbeatInterval, c.now+c.cfg.HeartbeatInterval/2)
 	c.broadcast(Heartbeat{
 		Stamp:       lease.Stamp(c.now), //nolint:gosec // instants are not negative
-		CellVersion: c.cell.Version, Incarnation: c.cfg.Incarnation,
+		CellVersion: c.cell.Version, Incarnation: c.cfg.Incarnation, Contact: c.inContact(),
 	})
 }
 
@@ -59,7 +68,7 @@
 		}
 		return
 	}
-	ack := c.contact.Heard(c.now, from)
+	ack := c.contact.Heard(c.now, from, m.Contact)
 	if m.CellVersion < c.cell.Version {
 		c.send(from, CellUpdate{Cell: c.cell, Provisional: c.cellProvisional})
 	}
