Apply all documented timeouts and check the store's settings

Cause: the settings page documented five timeouts that the daemon ignored, and 'boragegated check' did not check the store's own settings. Change: the timeouts reach listeners, control loop, table follower and idempotency records; check loads the store module. Conclusion: every documented timeout takes effect.

--- a/internal/control/actions.go
+++ b/internal/control/actions.go
@@ -48,7 +48,7 @@
 }
 
 func (r *Runner) read(a ownership.ReadObject) {
-	ctx, cancel := context.WithTimeout(r.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(r.context(), r.cfg.StoreTimeout)
 	defer cancel()
 	obj, err := r.cfg.Store.Get(ctx, a.Kind, a.Name)
 	r.Post(ownership.StoreReplied{ID: a.ID, Object: obj, Err: err})
@@ -57,7 +57,7 @@
 // write creates or updates an object. After a conflict or a lost reply it reads
 // the object, so that the core can recognise its own write.
 func (r *Runner) write(a ownership.WriteObject) {
-	ctx, cancel := context.WithTimeout(r.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(r.context(), r.cfg.StoreTimeout)
 	defer cancel()
 	obj, err := r.put(ctx, a.Object)
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) || errors.Is(err, platform.ErrOutcomeUnknown) {
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -22,8 +22,6 @@
 const (
 	// eventBuffer bounds the events that wait for the core.
 	eventBuffer = 4096
-	// storeTimeout bounds one call of the store.
-	storeTimeout = 2 * time.Second
 	// serverTimeout bounds a call of a backend server beyond the time that the
 	// server holds its reply.
 	serverTimeout = 300 * time.Millisecond
@@ -63,6 +61,8 @@
 	Routes     *route.Holder
 	Record     Recorder
 	Logger     zerolog.Logger
+	// StoreTimeout bounds one call of the store.
+	StoreTimeout time.Duration
 }
 
 // Runner runs one core. Its exported methods are safe for concurrent use.
@@ -192,7 +192,7 @@
 	ticker := time.NewTicker(instancesInterval)
 	defer ticker.Stop()
 	for {
-		ctx, cancel := context.WithTimeout(r.t.Context(nil), storeTimeout) //nolint:staticcheck // tomb takes nil for its own context
+		ctx, cancel := context.WithTimeout(r.t.Context(nil), r.cfg.StoreTimeout) //nolint:staticcheck // tomb takes nil for its own context
 		list, err := r.cfg.Store.Instances(ctx)
 		cancel()
 		if err == nil {
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -19,7 +19,16 @@
 
 // SettingsOptions are the checks of settings against the registered modules.
 func SettingsOptions() settings.Options {
-	return settings.Options{StoreModules: boragegate.Modules("store")}
+	return settings.Options{StoreModules: boragegate.Modules("store"), CheckStore: checkStore}
+}
+
+// checkStore loads the module of the store, which opens no connection.
+func checkStore(s settings.Store) error {
+	store, err := boragegate.LoadAs[platform.Store](context.Background(), s.Module, s.Config)
+	if err != nil {
+		return err
+	}
+	return boragegate.Unload(store)
 }
 
 // Command returns the command "run FILE", which runs an instance until its
@@ -89,7 +98,12 @@
 		Plain: s.TLS.Internal.Mode == settings.ModePlain, Keys: files(s.TLS.Internal),
 		CallerKeys: files(s.TLS.Caller), OperatorKeys: files(s.TLS.Operator),
 		BalancerDelay: time.Duration(s.Timeouts.BalancerLag),
-		Logger:        log.Logger, Recent: log.Recent, Operators: operators, KnownZones: s.KnownZones,
+		Timeouts: Timeouts{
+			Store: time.Duration(s.Timeouts.Store), ReadHeader: time.Duration(s.Timeouts.ReadHeader),
+			Idle: time.Duration(s.Timeouts.Idle), ClockSkew: time.Duration(s.Timeouts.ClockSkew),
+			IdempotencyRetention: time.Duration(s.Timeouts.IdempotencyRetention),
+		},
+		Logger: log.Logger, Recent: log.Recent, Operators: operators, KnownZones: s.KnownZones,
 	}, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -16,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"github.com/boragegate/boragegate/idempotency"
 	"github.com/boragegate/boragegate/internal/audit"
 	"github.com/boragegate/boragegate/internal/backend"
 	"github.com/boragegate/boragegate/internal/control"
@@ -35,9 +37,7 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes = 64 << 10
 	// healthInterval is the time between probes of targets without leases.
 	healthInterval = time.Second
 	probeTimeout   = 500 * time.Millisecond
@@ -69,7 +69,9 @@
 	// BalancerDelay is the time between failing the readiness check and the
 	// hand-over at a planned stop, in which the balancer takes notice.
 	BalancerDelay time.Duration
-	Logger        zerolog.Logger
+	// Timeouts bound waits; zero fields have the defaults of the settings.
+	Timeouts Timeouts
+	Logger   zerolog.Logger
 	// Recent has the last events of the log; nil reports none.
 	Recent *logging.Recent
 	// Release is the version of the program.
@@ -80,6 +82,28 @@
 	KnownZones []string
 }
 
+// Timeouts bound waits of an instance.
+type Timeouts struct {
+	// Store bounds one call of the store. Default 2 s.
+	Store time.Duration
+	// ReadHeader bounds the header of a request. Default 5 s.
+	ReadHeader time.Duration
+	// Idle is the time after which an unused connection closes. Default 1 min.
+	Idle time.Duration
+	// ClockSkew is the allowed difference of the clocks of callers and instances. Default 2 s.
+	ClockSkew time.Duration
+	// IdempotencyRetention is the time for which idempotency keys are kept. Default 1 h.
+	IdempotencyRetention time.Duration
+}
+
+func (t *Timeouts) setDefaults() {
+	t.Store = cmp.Or(t.Store, 2*time.Second)
+	t.ReadHeader = cmp.Or(t.ReadHeader, 5*time.Second)
+	t.Idle = cmp.Or(t.Idle, time.Minute)
+	t.ClockSkew = cmp.Or(t.ClockSkew, 2*time.Second)
+	t.IdempotencyRetention = cmp.Or(t.IdempotencyRetention, time.Hour)
+}
+
 // Instance is one running instance of boragegate.
 type Instance struct {
 	opts    Options
@@ -108,6 +132,7 @@
 
 // New opens the listeners. The instance takes no requests before Start.
 func New(o Options) (*Instance, error) {
+	o.Timeouts.setDefaults()
 	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New(), started: time.Now()}
 	i.logger = o.Logger.With().Str("instance", o.ID).Logger()
 	if err := i.open(); err != nil {
@@ -163,15 +188,18 @@
 	i.runner = control.New(control.Config{
 		Core: cfg, Store: i.opts.Store, Servers: i.servers, Peers: i.peers,
 		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
+		StoreTimeout: i.opts.Timeouts.Store,
 	})
 	i.gateway = gateway.New(gateway.Config{
 		Self: i.opts.ID, Zone: i.opts.Zone, Routes: &i.routes, Authority: i.runner,
 		ForwardTransport: i.forwardTransport(), ForwardScheme: i.forwardScheme(),
 		Logger: i.logger, Metrics: i.metrics,
+		Idempotency: idempotency.Config{Skew: i.opts.Timeouts.ClockSkew, Retention: i.opts.Timeouts.IdempotencyRetention},
 	})
 	i.follower = tablesync.New(tablesync.Config{
 		Self: i.opts.ID, Store: i.opts.Store, Peers: i.peers, Members: i.members,
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
+		ReadTimeout: i.opts.Timeouts.Store,
 	})
 	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
 	return nil
@@ -252,7 +280,7 @@
 }
 
 func (i *Instance) serve(ln net.Listener, h http.Handler) {
-	srv := i.lists.server(h)
+	srv := i.lists.server(h, i.opts.Timeouts)
 	i.t.Go(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -40,11 +40,11 @@
 	return nil
 }
 
-func (l *listeners) server(h http.Handler) *http.Server {
+func (l *listeners) server(h http.Handler, t Timeouts) *http.Server {
 	srv := &http.Server{
 		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: t.ReadHeader,
+		IdleTimeout:       t.Idle,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	l.mu.Lock()
--- a/internal/tablesync/exchange.go
+++ b/internal/tablesync/exchange.go
@@ -11,7 +11,7 @@
 // poll reads the store, less often in a large fleet.
 func (f *Follower) poll() error {
 	for {
-		ctx, cancel := context.WithTimeout(f.t.Context(nil), readTimeout) //nolint:staticcheck // tomb takes nil for its own context
+		ctx, cancel := context.WithTimeout(f.t.Context(nil), f.cfg.ReadTimeout) //nolint:staticcheck // tomb takes nil for its own context
 		err := f.Refresh(ctx)
 		cancel()
 		f.mu.Lock()
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -36,7 +36,6 @@
 	// roundsPerCycle is the number of rounds in which every member is asked once.
 	// A cycle of 4 s leaves 3 s of the 7 s bound for a lost message.
 	roundsPerCycle = 8
-	readTimeout    = 2 * time.Second
 )
 
 // Peers sends messages to other instances; Send does not block.
@@ -54,6 +53,8 @@
 	// Adopt is called with every version that the instance puts in force, in rising order.
 	Adopt  func(t *table.Table)
 	Logger zerolog.Logger
+	// ReadTimeout bounds one read of the store.
+	ReadTimeout time.Duration
 }
 
 // Follower follows the table. Its methods are safe for concurrent use.
