Show the state and load of targets that other instances control

Cause: the status page and 'boragegate services' showed 'unknown' for three of four targets, because only the controller of a target knows its state, and the load column showed shares of partitions. Change: the table exchange, one request to each member in 4 s, carries the state, slot use and measured load of the sender's targets; load shares come from slot-seconds once there is load.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,6 +128,7 @@
 
 	t        tomb.Tomb
 	stopping atomic.Bool
+	loads    atomic.Pointer[map[string]float64] // by target, over the last load interval
 }
 
 // New opens the listeners. The instance takes no requests before Start.
@@ -199,7 +200,7 @@
 	i.follower = tablesync.New(tablesync.Config{
 		Self: i.opts.ID, Store: i.opts.Store, Peers: i.peers, Members: i.members,
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
-		ReadTimeout: i.opts.Timeouts.Store,
+		ReadTimeout: i.opts.Timeouts.Store, Report: i.targetStatus,
 	})
 	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
 	return nil
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -80,6 +80,7 @@
 func (i *Instance) reportLoad() error {
 	for i.sleep(loadInterval) {
 		if reports := i.gateway.LoadReports(); len(reports) > 0 {
+			i.noteLoads(reports)
 			i.runner.Post(ownership.LoadObserved{Reports: reports})
 		}
 	}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/boragegate/boragegate/internal/operator/api"
@@ -10,8 +11,8 @@
 	"github.com/boragegate/boragegate/table"
 )
 
-// service describes a service. Load shares are known for the targets that this
-// instance controls only.
+// service describes a service. Without measured load, the share of the partitions
+// stands for the share of the load.
 func (i *Instance) service(t *table.Table, s table.Service, v *ownership.View) api.Service {
 	out := api.Service{
 		Name: s.Name, Divided: s.Divided, Partitions: s.Partitions,
@@ -31,13 +32,58 @@
 	for _, r := range rows {
 		weights += r.Weight
 	}
+	var load float64
 	for _, r := range rows {
 		out.Targets = append(out.Targets, i.target(r, v, a, weights))
+		load += i.status(r.ID()).Load
+	}
+	if load > 0 {
+		for n, r := range rows {
+			out.Targets[n].LoadShare = i.status(r.ID()).Load / load
+		}
 	}
 	out.Imbalance = imbalance(out.Targets, len(ownersOf(a)))
 	return out
 }
 
+// targetStatus returns the state of the targets that this instance controls.
+func (i *Instance) targetStatus() []ownership.TargetStatus {
+	var list []ownership.TargetStatus
+	for id := range i.runner.View().Held {
+		list = append(list, i.status(id))
+	}
+	return list
+}
+
+// status returns the state of a target, as last heard if another instance
+// controls it.
+func (i *Instance) status(id string) ownership.TargetStatus {
+	h, ok := i.runner.View().Held[id]
+	if !ok {
+		s, _ := i.follower.Target(id)
+		return s
+	}
+	s := ownership.TargetStatus{Target: id, State: h.State}
+	if l, ok := i.gateway.TargetLoad(id); ok {
+		s.InUse, s.Queued = l.Running, l.Queued
+	}
+	if loads := i.loads.Load(); loads != nil {
+		s.Load = (*loads)[id]
+	}
+	return s
+}
+
+// noteLoads keeps the total load of each target of the last reports.
+func (i *Instance) noteLoads(reports []ownership.LoadReport) {
+	loads := make(map[string]float64, len(reports))
+	for _, r := range reports {
+		for _, p := range r.Partitions {
+			loads[r.Target] += p.Load
+		}
+	}
+	i.loads.Store(&loads)
+}
+
 func (i *Instance) target(r table.Row, v *ownership.View, a *placement.Assignment, weights float64) api.Target {
 	t := api.Target{Name: r.Target, Address: r.Address, Zone: r.Zone, State: string(ownership.TargetUnknown), Slots: r.Slots}
 	if weights > 0 {
@@ -52,19 +98,15 @@
 			t.Controller, t.Term = c.Instance, c.Term
 		}
 	}
-	if h, ok := v.Held[r.ID()]; ok {
-		t.State = string(h.State)
-	}
+	s := i.status(r.ID())
+	t.State, t.InUse, t.Queued = cmp.Or(string(s.State), t.State), s.InUse, s.Queued
 	if r.Drain {
 		t.State = "draining"
 	}
-	if l, ok := i.gateway.TargetLoad(r.ID()); ok {
-		t.InUse, t.Queued = l.Running, l.Queued
-	}
 	return t
 }
 
-// imbalance is the largest ratio of a target's share of partitions to its share
+// imbalance is the largest ratio of a target's share of the load to its share
 // of the weights.
 func imbalance(targets []api.Target, owned int) float64 {
 	if owned == 0 {
@@ -168,7 +210,12 @@
 	}
 	h, mine := v.Held[id]
 	if !mine {
-		e.Serving, e.Reason = true, "as recorded; ask "+c.Instance+" for the state of the server"
+		s := i.status(id)
+		e.State = cmp.Or(string(s.State), e.State)
+		e.Serving = s.State == ownership.TargetHeld
+		if !e.Serving {
+			e.Reason = "instance " + c.Instance + " reports the target as " + e.State
+		}
 		return
 	}
 	e.State = string(h.State)
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -30,6 +30,8 @@
 		ok = loadOK(m.Reports)
 	case ownership.AssignmentState:
 		ok = m.Highest == nil || assignmentOK(m.Highest)
+	case ownership.TableRequest:
+		ok = statusOK(m.Targets)
 	case ownership.Proposal:
 		ok = (m.Cell == nil || cellOK(m.Cell)) && (m.Assignment == nil || assignmentOK(m.Assignment))
 	}
@@ -113,4 +115,13 @@
 	return true
 }
 
+func statusOK(list []ownership.TargetStatus) bool {
+	for _, s := range list {
+		if !stateOK(s.State) || !amountOK(s.Load) {
+			return false
+		}
+	}
+	return true
+}
+
 func amountOK(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
--- a/internal/tablesync/exchange.go
+++ b/internal/tablesync/exchange.go
@@ -63,7 +63,7 @@
 		version = t.Version
 	}
 	stamp := lease.Stamp(f.now()) //nolint:gosec // instants are not negative
-	f.cfg.Peers.Send(m, ownership.TableRequest{Stamp: stamp, Version: version})
+	f.cfg.Peers.Send(m, ownership.TableRequest{Stamp: stamp, Version: version, Targets: f.cfg.Report()})
 }
 
 // Receive handles a message of a peer. It reports whether the message was one
@@ -84,6 +84,9 @@
 	to, ok := f.member(from)
 	f.mu.Lock()
 	f.inForce[from] = Version{Version: req.Version, Heard: time.Now()}
+	for _, s := range req.Targets {
+		f.targets[s.Target] = s
+	}
 	f.notify()
 	reply := ownership.TableUpdate{Stamp: req.Stamp, ConfirmedAgeMS: -1}
 	if f.current != nil {
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -53,6 +53,8 @@
 	// Adopt is called with every version that the instance puts in force, in rising order.
 	Adopt  func(t *table.Table)
 	Logger zerolog.Logger
+	// Report returns the state of the targets that this instance controls.
+	Report func() []ownership.TargetStatus
 	// ReadTimeout bounds one read of the store.
 	ReadTimeout time.Duration
 }
@@ -69,11 +71,20 @@
 	confirmed lease.Instant
 	known     bool
 	inForce   map[string]Version
+	targets   map[string]ownership.TargetStatus
 	next      int
 	changed   chan struct{}
 	storeErr  error
 }
 
+// Target returns the state of a target that another instance controls, as last heard.
+func (f *Follower) Target(id string) (ownership.TargetStatus, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	return s, ok
+}
+
 // Version is the table version that an instance has in force, as last heard.
 type Version struct {
 	Version uint64
@@ -82,7 +93,7 @@
 
 // New returns a follower that has not started.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, start: time.Now(), inForce: map[string]Version{}, changed: make(chan struct{})}
+	return &Follower{cfg: cfg, start: time.Now(), inForce: map[string]Version{}, targets: map[string]ownership.TargetStatus{}, changed: make(chan struct{})}
 }
 
 // Start starts to follow.
--- a/ownership/tablemessage.go
+++ b/ownership/tablemessage.go
@@ -9,6 +9,18 @@
 	Stamp lease.Stamp `msgpack:"s"`
 	// Version is the version that the sender has in force.
 	Version uint64 `msgpack:"v"`
+	// Targets has the state of the targets that the sender controls, for display.
+	Targets []TargetStatus `msgpack:"t,omitempty"`
+}
+
+// TargetStatus is the state of a target as its controller shows it to operators.
+type TargetStatus struct {
+	Target string      `msgpack:"t"`
+	State  TargetState `msgpack:"s"`
+	InUse  int         `msgpack:"u"`
+	Queued int         `msgpack:"q"`
+	// Load is in slot-seconds per second over the last load interval.
+	Load float64 `msgpack:"l"`
 }
 
 // TableUpdate answers a TableRequest, or carries a newly accepted version.
