Send the incarnation once per connection

Cause: heartbeats carry the process's incarnation since the control core checks it; as an UUID it doubles the heartbeat. Change: peer.Config.Incarnation goes into the hello; a heartbeat with the same value is sent without it and completed at the receiver.

--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
@@ -69,10 +70,10 @@
 		})
 	})
 
-	It("keeps heartbeats and acks within the size that the byte budget assumes", func() {
-		stamp := lease.Stamp(30 * 24 * time.Hour)
+	It("keeps heartbeats, and acks without assignment versions, within the size that the byte budget assumes", func() {
+		stamp, incarnation := lease.Stamp(30*24*time.Hour), uuid.NewString()
 		for _, m := range []ownership.Message{
-			ownership.Heartbeat{Stamp: stamp, CellVersion: 3<<32 | 900},
+			omitIncarnation(ownership.Heartbeat{Stamp: stamp, CellVersion: 3<<32 | 900, Incarnation: incarnation, Contact: true}, incarnation),
 			ownership.HeartbeatAck{Stamp: stamp, CellVersion: 3<<32 | 900},
 		} {
 			frame, _, err := encode(m)
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/boragegate/boragegate/ownership"
 )
 
 // handshakeTimeout bounds connecting, TLS and the hello exchange, each.
@@ -14,6 +16,27 @@
 type hello struct {
 	Instance string `msgpack:"i"`
 	Cell     string `msgpack:"c"`
+	// Incarnation is that of the sender's process, if known.
+	Incarnation string `msgpack:"n,omitempty"`
+}
+
+// omitIncarnation leaves the incarnation out of a heartbeat: as an UUID it takes
+// more bytes than the rest of the frame.
+func omitIncarnation(msg ownership.Message, own string) ownership.Message {
+	if m, ok := msg.(ownership.Heartbeat); ok && m.Incarnation == own {
+		m.Incarnation = ""
+		return m
+	}
+	return msg
+}
+
+// restoreIncarnation is the inverse, with the incarnation of the sender's hello.
+func restoreIncarnation(msg ownership.Message, sender string) ownership.Message {
+	if m, ok := msg.(ownership.Heartbeat); ok && m.Incarnation == "" {
+		m.Incarnation = sender
+		return m
+	}
+	return msg
 }
 
 func writeHello(w io.Writer, h hello) error {
@@ -58,24 +81,24 @@
 
 // admit reads the hello of an incoming connection, checks it, and answers.
 // identity compares the ID with the connection's certificate.
-func (t *Transport) admit(conn net.Conn, identity func(id string) error) (string, error) {
+func (t *Transport) admit(conn net.Conn, identity func(id string) error) (hello, error) {
 	h, err := readHello(conn)
 	if err != nil {
-		return "", err
+		return h, err
 	}
 	if err := identity(h.Instance); err != nil {
-		return h.Instance, err
+		return h, err
 	}
 	if h.Instance == "" || h.Instance == t.cfg.Self || !t.cfg.Allow(h.Instance) {
-		return h.Instance, fmt.Errorf("%w %q", ErrUnknownSender, h.Instance)
+		return h, fmt.Errorf("%w %q", ErrUnknownSender, h.Instance)
 	}
 	if err := t.checkCell(h); err != nil {
-		return h.Instance, err
+		return h, err
 	}
-	return h.Instance, writeHello(conn, t.hello())
+	return h, writeHello(conn, t.hello())
 }
 
-func (t *Transport) hello() hello { return hello{t.cfg.Self, t.cfg.Cell} }
+func (t *Transport) hello() hello { return hello{t.cfg.Self, t.cfg.Cell, t.cfg.Incarnation} }
 
 func (t *Transport) checkCell(h hello) error {
 	if h.Cell != t.cfg.Cell {
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -103,14 +103,14 @@
 		t.reject("", err)
 		return
 	}
-	from, err := t.admit(secured, identity)
+	h, err := t.admit(secured, identity)
 	if err != nil {
-		t.reject(from, err)
+		t.reject(h.Instance, err)
 		return
 	}
-	t.replace(conn, from)
-	if err := t.deliverAll(conn, secured, from); !ended(err) {
-		t.reject(from, err)
+	t.replace(conn, h.Instance)
+	if err := t.deliverAll(conn, secured, h); !ended(err) {
+		t.reject(h.Instance, err)
 	}
 }
 
@@ -129,7 +129,7 @@
 }
 
 // deliverAll delivers messages until the connection ends and returns why, never nil.
-func (t *Transport) deliverAll(raw, conn net.Conn, from string) error {
+func (t *Transport) deliverAll(raw, conn net.Conn, from hello) error {
 	r := bufio.NewReader(conn)
 	for {
 		_ = raw.SetDeadline(time.Now().Add(readTimeout))
@@ -141,11 +141,11 @@
 		if err != nil {
 			return err
 		}
-		if err := checkSender(from, msg); err != nil {
+		if err := checkSender(from.Instance, msg); err != nil {
 			return err
 		}
 		t.count("messages_received", 1)
-		t.cfg.Deliver(from, msg)
+		t.cfg.Deliver(from.Instance, restoreIncarnation(msg, from.Incarnation))
 	}
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -38,6 +38,9 @@
 type Config struct {
 	// Self is the ID of this instance.
 	Self string
+	// Incarnation is that of this process. Heartbeats that carry it are sent
+	// without it; the receiver takes it from the hello.
+	Incarnation string
 	// Cell is the name of this instance's cell.
 	Cell string
 	// Listen is the host:port of the peer listener.
@@ -126,7 +129,7 @@
 // Send queues a message for a member and returns at once. A message that cannot
 // be encoded is counted and logged.
 func (t *Transport) Send(to ownership.Member, msg ownership.Message) {
-	frame, kind, err := encode(msg)
+	frame, kind, err := encode(omitIncarnation(msg, t.cfg.Incarnation))
 	if err != nil {
 		t.count("unencodable", 1)
 		t.report(to.ID, "peer message not sent", err)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -92,7 +92,7 @@
 	It("closes the older of two connections of one peer, which may be half open", func() {
 		b := open(Config{Self: "b"})
 		old := dial(b)
-		Expect(writeHello(old, hello{"a", "c1"})).To(Succeed())
+		Expect(writeHello(old, hello{Instance: "a", Cell: "c1"})).To(Succeed())
 		_, err := readHello(old)
 		Expect(err).NotTo(HaveOccurred())
 		open(Config{Self: "a"}).Send(b.member(), ownership.LeaveRequest{})
@@ -127,20 +127,20 @@
 			Expect(b.Close()).To(Succeed())
 			Expect(b.log.String()).To(ContainSubstring(`"reason":"` + counter + `"`))
 		},
-		Entry("protocol version", hello{"a", "c1"}, raw(3, 9, 1, 0x80), "version"),
-		Entry("frame above the limit", hello{"a", "c1"}, raw(MaxFrameBytes+1, Version, 1), "frame_size"),
-		Entry("frame below the header", hello{"a", "c1"}, raw(1, Version, 1), "frame_size"),
-		Entry("message type", hello{"a", "c1"}, raw(3, Version, 99, 0x80), "unknown_type"),
-		Entry("second hello", hello{"a", "c1"}, raw(3, Version, kindHello, 0x80), "unknown_type"),
-		Entry("body", hello{"a", "c1"}, raw(3, Version, 1, 0xc1), "malformed"),
-		Entry("join for another instance", hello{"a", "c1"}, func() []byte {
+		Entry("protocol version", hello{Instance: "a", Cell: "c1"}, raw(3, 9, 1, 0x80), "version"),
+		Entry("frame above the limit", hello{Instance: "a", Cell: "c1"}, raw(MaxFrameBytes+1, Version, 1), "frame_size"),
+		Entry("frame below the header", hello{Instance: "a", Cell: "c1"}, raw(1, Version, 1), "frame_size"),
+		Entry("message type", hello{Instance: "a", Cell: "c1"}, raw(3, Version, 99, 0x80), "unknown_type"),
+		Entry("second hello", hello{Instance: "a", Cell: "c1"}, raw(3, Version, kindHello, 0x80), "unknown_type"),
+		Entry("body", hello{Instance: "a", Cell: "c1"}, raw(3, Version, 1, 0xc1), "malformed"),
+		Entry("join for another instance", hello{Instance: "a", Cell: "c1"}, func() []byte {
 			b, _, _ := encode(ownership.JoinRequest{Member: ownership.Member{ID: "x"}})
 			return b
 		}(), "unknown_sender"),
-		Entry("unknown instance", hello{"stranger", "c1"}, nil, "unknown_sender"),
-		Entry("own ID", hello{"b", "c1"}, nil, "unknown_sender"),
-		Entry("no ID", hello{"", "c1"}, nil, "unknown_sender"),
-		Entry("another cell", hello{"a", "c2"}, nil, "wrong_cell"),
+		Entry("unknown instance", hello{Instance: "stranger", Cell: "c1"}, nil, "unknown_sender"),
+		Entry("own ID", hello{Instance: "b", Cell: "c1"}, nil, "unknown_sender"),
+		Entry("no ID", hello{Instance: "", Cell: "c1"}, nil, "unknown_sender"),
+		Entry("another cell", hello{Instance: "a", Cell: "c2"}, nil, "wrong_cell"),
 	)
 
 	It("bounds the log lines that a hostile peer can cause", func() {
@@ -171,10 +171,10 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
-	It("delivers under the authenticated ID, and states the bytes of a heartbeat", func() {
-		a := open(Config{Self: "a", TLS: issue(authority, "a")})
-		b := open(Config{Self: "b", TLS: issue(authority, "b")})
-		stamp := ownership.Heartbeat{Stamp: 1 << 50, CellVersion: 1 << 40}
+	It("delivers under the authenticated ID with the sender's incarnation, and states the bytes of a heartbeat", func() {
+		a := open(Config{Self: "a", Incarnation: "a-1", TLS: issue(authority, "a")})
+		b := open(Config{Self: "b", Incarnation: "b-1", TLS: issue(authority, "b")})
+		stamp := ownership.Heartbeat{Stamp: 1 << 50, CellVersion: 1 << 40, Incarnation: "a-1", Contact: true}
 		a.Send(b.member(), stamp)
 		Eventually(b.received).Should(Receive(Equal(delivery{"a", stamp})))
 		before := b.counter("bytes_received")()
