Bound the upload rate of the audit trail

Cause: an append rewrites the newest object, so a stream of entries uploads far more than it adds. Change: after a write the trail waits its size divided by 8 KB/s, at least one second. Conclusion: at most 8 KB/s while entries keep coming, at the price of a delay of up to 8 s, which each entry shows.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -162,6 +162,15 @@
 		Expect(Read(ctx, store, "c1", Filter{})).To(HaveLen(3))
 	})
 
+	ginkgo.It("waits longer after a large write, so that a stream of entries does not use up the byte budget", func() {
+		trail := open(memory.New(memory.Options{}), "a", func(c *Config) { c.Clock = clockwork.NewFakeClock() })
+		for range 3 {
+			trail.Add(Entry{Event: "e", Diff: strings.Repeat("d", maxDiffBytes)})
+		}
+		trail.step()
+		Expect(trail.pause()).To(BeNumerically(">", 3*time.Second))
+	})
+
 	ginkgo.It("gives up at the stop while the store is down instead of holding up the stop", func() {
 		clock := clockwork.NewFakeClock()
 		trail := open(memory.New(memory.Options{Faults: memory.Faults{Down: true}}), "a", func(c *Config) { c.Clock = clock })
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -26,6 +26,9 @@
 	DefaultBuffered = 4096
 	// writeInterval is the shortest time between two writes of an instance.
 	writeInterval = time.Second
+	// uploadRate bounds the bytes per second while entries keep coming: an append
+	// rewrites the object, and an instance has 6 KB/s for control in the long run.
+	uploadRate = 8 << 10
 	// maxBackoff is the longest time between two attempts while the store fails.
 	maxBackoff = 10 * time.Second
 	// delayedAfter is the length of a failure that is entered into the trail.
@@ -166,11 +169,12 @@
 	return len(t.buffer.entries) + len(t.writer.batch)
 }
 
-// pause is the time to the next step: the write interval, or a jittered backoff while the store fails.
+// pause is the time to the next step: the write interval, longer after a large
+// write, or a jittered backoff while the store fails.
 func (t *Trail) pause() time.Duration {
-	wait := writeInterval
+	wait := max(writeInterval, time.Duration(t.writer.uploaded)*time.Second/uploadRate)
 	if t.failures > 0 {
-		wait = min(writeInterval<<min(t.failures-1, 4), maxBackoff)
+		wait = max(wait, min(writeInterval<<min(t.failures-1, 4), maxBackoff))
 		wait += rand.N(wait / 2) //nolint:gosec // no secret
 	}
 	return wait - t.cfg.Clock.Since(t.lastWrite)
--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -57,6 +57,8 @@
 	batch []Entry
 	// reread says that current must be read again before the next write.
 	reread bool
+	// uploaded is the size of the last write.
+	uploaded int
 }
 
 func (w *writer) pending() bool {
@@ -71,6 +73,7 @@
 // step makes the next write, if one is needed. It returns the number of entries
 // that are known to be written since the last step.
 func (w *writer) step(ctx context.Context) (written int, err error) {
+	w.uploaded = 0
 	if !w.located {
 		if err := w.locate(ctx); err != nil {
 			return 0, err
@@ -144,6 +147,7 @@
 	if obj.Version == 0 {
 		call = w.store.Create
 	}
+	w.uploaded = len(obj.Value)
 	got, err := call(ctx, obj)
 	switch {
 	case err == nil:
