--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -21,7 +21,8 @@
 	maxDoublings = 5
 	// writeTimeout ends a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
-	// idleAfter closes a connection without messages, for example to a former member.
+	// idleAfter ends the link to a peer to which nothing is sent, for example a
+	// former member, also while it cannot be reached.
 	idleAfter = 30 * time.Second
 )
 
@@ -73,7 +74,7 @@
 	}
 }
 
-// run connects while there is something to send, until the transport stops or the link is idle.
+// run keeps a connection until the transport stops or the link is idle.
 func (l *link) run() error {
 	for l.t.tomb.Alive() {
 		conn, err := l.connect()
@@ -83,7 +84,7 @@
 		} else {
 			l.t.count("connect_errors", 1)
 		}
-		if errors.Is(err, errIdle) && l.retire() {
+		if l.retire() {
 			return nil
 		}
 		if !errors.Is(err, errIdle) && !errors.Is(err, errNewAddress) {
@@ -109,11 +110,12 @@
 	return d/2 + rand.N(d/2+1) //nolint:gosec // no secret
 }
 
-// retire removes the link if nothing was queued since it became idle.
+// retire removes the link, with what is still queued, if nothing was sent to the
+// peer for idleAfter.
 func (l *link) retire() bool {
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
-	if !l.queue.empty() {
+	if !l.queue.unused(time.Now(), idleAfter) {
 		return false
 	}
 	delete(l.t.links, l.id)
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -26,11 +26,13 @@
 // queue holds the frames for one peer in two priorities. It is safe for
 // concurrent use and never blocks.
 type queue struct {
-	mu     sync.Mutex
-	lists  [2][]queued // by priority, oldest first
-	bytes  int
-	wake   chan struct{} // receives when a frame was added
-	onDrop func(priority)
+	mu    sync.Mutex
+	lists [2][]queued // by priority, oldest first
+	bytes int
+	// lastPut is the time of the newest frame, sent or not.
+	lastPut time.Time
+	wake    chan struct{} // receives when a frame was added
+	onDrop  func(priority)
 }
 
 func newQueue(onDrop func(priority)) *queue {
@@ -52,6 +54,7 @@
 		})
 	}
 	*list = append(*list, queued{kind, frame, now})
+	q.lastPut = now
 	q.bytes += len(frame)
 	for q.size() > maxQueued || q.bytes > maxQueuedBytes {
 		q.dropOldest()
@@ -100,8 +103,9 @@
 	return nil, false
 }
 
-func (q *queue) empty() bool {
+// unused reports whether nothing was added for the time.
+func (q *queue) unused(now time.Time, d time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.size() == 0
+	return now.Sub(q.lastPut) >= d
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -109,6 +109,16 @@
 		Expect(a.counter("dropped_low")()).To(BeEquivalentTo(maxQueued))
 	})
 
+	It("gives up on a former member that cannot be reached, so that replaced instances leave nothing behind", func() {
+		a := open(Config{Self: "a"})
+		l := newLink(a.Transport, "gone")
+		l.setAddress("127.0.0.1:1")
+		l.queue.add(time.Now().Add(-idleAfter), kindLow, "low")
+		done := make(chan struct{})
+		go func() { _ = l.run(); close(done) }()
+		Eventually(done).Should(BeClosed())
+	})
+
 	heartbeat := func() []byte { b, _, _ := encode(ownership.Heartbeat{Stamp: 1}); return b }()
 	raw := func(length uint32, rest ...byte) []byte {
 		return append(binary.BigEndian.AppendUint32(nil, length), rest...)
