Share promise checks and let the sample server freeze

The checks of the demo were private to it, so tests of whole systems could not use them. They move to internal/promise with the client load; the demo uses them from there. Each check has a broken history that it must report and one that it must accept. The longest wait now counts waits that have not ended, which the demo ignored before.

The sample server gets Freeze and Thaw, which stop its steps while its clock goes on. Its test fails if the freeze is removed from the handler (answers while frozen) or the second lease check from commit.

--- a/examples/backend/server/application.go
+++ b/examples/backend/server/application.go
@@ -44,6 +44,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	s.freezer.wait()
 	// The time is taken before the lease is checked: an effect never counts as
 	// later than the lease that allowed it.
 	end := time.Now()
@@ -133,6 +134,7 @@
 	}
 	partition, _ := partitionOf(r)
 	s.cfg.Observe(Effect{
+		Service:        s.cfg.Service,
 		Target:         s.cfg.Target,
 		Key:            r.Header.Get(headerKey),
 		Partition:      partition,
--- a/examples/backend/server/server.go
+++ b/examples/backend/server/server.go
@@ -33,6 +33,7 @@
 
 // Effect describes one request that took effect.
 type Effect struct {
+	Service        string
 	Target         string
 	Key            string
 	Partition      int
@@ -49,6 +50,8 @@
 	start time.Time
 	slots chan struct{}
 
+	freezer freezer
+
 	mu      sync.Mutex
 	grants  grantSet
 	keys    map[string]uint64
@@ -92,7 +95,7 @@
 	mux.HandleFunc("GET /boragegate/v1/health", s.handleHealth)
 	mux.HandleFunc("GET /boragegate/v1/load", s.handleLoad)
 	mux.HandleFunc("/", s.handleApplication)
-	return mux
+	return s.pausing(mux)
 }
 
 // Start listens on the address and serves until Stop or Kill.
@@ -101,6 +104,12 @@
 	if err != nil {
 		return err
 	}
+	s.Serve(ln)
+	return nil
+}
+
+// Serve serves on a listener, in goroutines of its own, until Stop or Kill.
+func (s *Server) Serve(ln net.Listener) {
 	s.ln = ln
 	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() {
@@ -108,7 +117,6 @@
 			_ = ln.Close()
 		}
 	}()
-	return nil
 }
 
 // Address returns the address on which the server listens.
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -11,6 +11,7 @@
 	"github.com/boragegate/boragegate"
 	"github.com/boragegate/boragegate/examples/backend/server"
 	"github.com/boragegate/boragegate/internal/daemon"
+	"github.com/boragegate/boragegate/internal/promise"
 	"github.com/boragegate/boragegate/internal/standard"
 	"github.com/boragegate/boragegate/placement"
 	"github.com/boragegate/boragegate/platform/memory"
@@ -40,7 +41,7 @@
 	tables    *tablestore.Tables
 	instances []*daemon.Instance
 	servers   map[string]*server.Server
-	effects   effects
+	effects   promise.Effects
 	table     *table.Table
 }
 
@@ -70,7 +71,7 @@
 	for service, n := range map[string]int{"route": targetsRoute, "order": targetsOrder} {
 		for i := range n {
 			name := fmt.Sprintf("%s%d", service[:1], i+1)
-			s := server.New(server.Config{Service: service, Target: name, Observe: c.effects.observe})
+			s := server.New(server.Config{Service: service, Target: name, Observe: c.effects.Observe})
 			if err := s.Start(loopback); err != nil {
 				return eris.Wrap(err, "start sample server")
 			}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/boragegate/boragegate/internal/promise"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -83,13 +84,13 @@
 }
 
 func bounded(ctx context.Context, c *cluster, o Options) error {
-	r := &run{cluster: c, clients: newClients(c.callerAddresses()), out: o.Out, step: max(o.Duration/steps, minStep)}
+	r := &run{cluster: c, clients: promise.NewClients(c.callerAddresses), out: o.Out, step: max(o.Duration/steps, minStep)}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	loaded := make(chan struct{})
 	go func() {
 		defer close(loaded)
-		r.clients.run(loadCtx)
+		r.clients.Run(loadCtx)
 	}()
 	err := r.steps(ctx)
 	stopLoad()
@@ -129,7 +130,7 @@
 		}
 	}
 	service, _ := r.cluster.table.Service("route")
-	r.broken = append(r.broken, checkDrained("r2", drainedAt.Add(time.Duration(service.DrainAfter)), r.cluster.effects.snapshot())...)
+	r.broken = append(r.broken, promise.CheckDrained("route", "r2", drainedAt.Add(time.Duration(service.DrainAfter)), r.cluster.effects.Snapshot())...)
 	return nil
 }
 
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -6,19 +6,21 @@
 	"io"
 	"time"
 
+	"github.com/boragegate/boragegate/examples/backend/server"
+	"github.com/boragegate/boragegate/internal/promise"
 	"github.com/boragegate/boragegate/table"
 )
 
 // run is a bounded run of the demo: its load, its report and what it found broken.
 type run struct {
 	cluster *cluster
-	clients *clients
+	clients *promise.Clients
 	out     io.Writer
 	step    time.Duration
 	// loss says that the current step stopped a server without notice.
 	loss    bool
-	results []result
-	broken  []string
+	results []promise.Result
+	broken  promise.Broken
 }
 
 // do carries out one step, lets the load go on for the length of a step, and reports.
@@ -35,9 +37,9 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	results := r.clients.take()
+	results := r.clients.Take()
 	r.results = append(r.results, results...)
-	unavailable := max(longestWait("route", results), longestWait("order", results))
+	unavailable := max(promise.LongestWait("route", results), promise.LongestWait("order", results))
 	r.report(name, results, moved(before, r.cluster.assignment("route")), unavailable)
 	if r.loss && unavailable > lossLimit {
 		r.broken = append(r.broken, fmt.Sprintf("a key was without an answer for %s after a loss (limit %s)", unavailable, lossLimit))
@@ -45,10 +47,10 @@
 	return nil
 }
 
-func (r *run) report(name string, results []result, moves int, unavailable time.Duration) {
+func (r *run) report(name string, results []promise.Result, moves int, unavailable time.Duration) {
 	counts := map[string]int{}
 	for _, res := range results {
-		counts[res.outcome]++
+		counts[res.Outcome]++
 	}
 	fmt.Fprintf(r.out, "%-34s requests: %5d run, %3d not-run, %3d unknown; partitions moved: %3d of %d; longest time without an answer for a key: %s\n",
 		name, counts["run"], counts["not-run"], counts["unknown"], moves, demoPartitions, unavailable.Round(time.Millisecond))
@@ -68,11 +70,8 @@
 
 // verdict checks the promises over the whole run.
 func (r *run) verdict() error {
-	list := r.cluster.effects.snapshot()
-	r.broken = append(r.broken, checkOnce(list)...)
-	r.broken = append(r.broken, checkOutcomes(r.results, list)...)
-	r.broken = append(r.broken, checkOwners(byService("r", list))...)
-	r.broken = append(r.broken, checkOwners(byService("o", list))...)
+	list := r.cluster.effects.Snapshot()
+	r.broken = append(r.broken, promise.All(r.results, list, func(server.Effect) bool { return true })...)
 	if len(r.broken) == 0 {
 		fmt.Fprintf(r.out, "checked %d effects at the servers: one owner per key, at most one run per idempotency key, own answers, true outcomes\n", len(list))
 		return nil
--- /dev/null
+++ b/internal/promise/check.go
@@ -0,0 +1,170 @@
+package promise
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/boragegate/boragegate/examples/backend/server"
+)
+
+// Outcomes of a request as its caller saw it.
+const (
+	OutcomeRun     = "run"
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+)
+
+// Result is one request as its caller saw it.
+type Result struct {
+	Service, Key, Method string
+	// ID is the idempotency key, unique to the request unless it is a retry.
+	ID         string
+	Begin, End time.Time
+	// Outcome is one of the outcomes above.
+	Outcome string
+	// Status is the HTTP status, 0 without a complete answer.
+	Status int
+	// Wrong describes an answer that does not belong to the request, or "".
+	Wrong string
+}
+
+// Broken are descriptions of broken promises; empty if all were kept.
+type Broken []string
+
+func (b *Broken) addf(format string, args ...any) { *b = append(*b, fmt.Sprintf(format, args...)) }
+
+// All runs the checks that hold in every history: one owner for each key of
+// each service (P1), own answers (P3), true outcomes (P4), and at most one run
+// of the requests that must not be repeated, selected by once (P5).
+func All(results []Result, list []server.Effect, once func(server.Effect) bool) Broken {
+	services := map[string]bool{}
+	var single []server.Effect
+	for _, f := range list {
+		services[f.Service] = true
+		if once(f) {
+			single = append(single, f)
+		}
+	}
+	var broken Broken
+	for s := range services {
+		broken = append(broken, CheckOwners(OfService(s, list))...)
+	}
+	broken = append(broken, CheckOnce(single)...)
+	return append(broken, CheckOutcomes(results, list)...)
+}
+
+// CheckOwners reports partitions of one service that two servers ran at the
+// same epoch, or that ran at an older epoch after a newer one had begun (P1).
+func CheckOwners(list []server.Effect) Broken {
+	type owner struct {
+		epoch  uint64
+		target string
+	}
+	var broken Broken
+	owners := map[int]owner{}
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b server.Effect) int { return a.End.Compare(b.End) })
+	for _, f := range list {
+		o := owners[f.Partition]
+		switch {
+		case f.Epoch > o.epoch:
+			owners[f.Partition] = owner{f.Epoch, f.Target}
+		case f.Epoch < o.epoch:
+			broken.addf("P1: partition %d ran at epoch %d on %s after epoch %d on %s",
+				f.Partition, f.Epoch, f.Target, o.epoch, o.target)
+		case f.Target != o.target:
+			broken.addf("P1: partition %d has two owners at epoch %d: %s and %s",
+				f.Partition, f.Epoch, f.Target, o.target)
+		}
+	}
+	return broken
+}
+
+// CheckOnce reports idempotency keys that ran more than once (P5).
+func CheckOnce(list []server.Effect) Broken {
+	var broken Broken
+	seen := map[string]string{}
+	for _, f := range list {
+		if first, ok := seen[f.IdempotencyKey]; ok {
+			broken.addf("P5: request %s ran on %s and again on %s", f.IdempotencyKey, first, f.Target)
+		}
+		seen[f.IdempotencyKey] = f.Target
+	}
+	return broken
+}
+
+// CheckOutcomes reports requests that were told not to have run but did (P4),
+// and answers that belong to another request or are incomplete (P3).
+func CheckOutcomes(results []Result, list []server.Effect) Broken {
+	ran := map[string]bool{}
+	for _, f := range list {
+		ran[f.IdempotencyKey] = true
+	}
+	var broken Broken
+	for _, r := range results {
+		if r.Outcome == OutcomeNotRun && ran[r.ID] {
+			broken.addf("P4: %s %s/%s %s was reported not run, but ran", r.Method, r.Service, r.Key, r.ID)
+		}
+		if r.Wrong != "" {
+			broken.addf("P3: request %s: %s", r.ID, r.Wrong)
+		}
+	}
+	return broken
+}
+
+// CheckDrained reports new work at a target after the time (P6).
+func CheckDrained(service, target string, after time.Time, list []server.Effect) Broken {
+	var broken Broken
+	for _, f := range list {
+		if f.Service == service && f.Target == target && f.Begin.After(after) {
+			broken.addf("P6: %s/%s took new work %s after it had to stop", service, target, f.Begin.Sub(after))
+		}
+	}
+	return broken
+}
+
+// CheckUncut reports requests that were sent and got no certain answer, as a
+// planned stop must not cause (P7).
+func CheckUncut(results []Result) Broken {
+	var broken Broken
+	for _, r := range results {
+		if r.Outcome == OutcomeUnknown {
+			broken.addf("P7: %s %s/%s %s was cut off", r.Method, r.Service, r.Key, r.ID)
+		}
+	}
+	return broken
+}
+
+// LongestWait returns the longest time that a key of the service waited for an
+// answer, from the first request that got none to the next answer. A wait that
+// has not ended counts up to the end of the last request of the key.
+func LongestWait(service string, results []Result) time.Duration {
+	byKey := map[string][]Result{}
+	for _, r := range results {
+		if r.Service == service {
+			byKey[r.Key] = append(byKey[r.Key], r)
+		}
+	}
+	var longest time.Duration
+	for _, list := range byKey {
+		longest = max(longest, longestOfKey(list))
+	}
+	return longest
+}
+
+func longestOfKey(list []Result) time.Duration {
+	slices.SortFunc(list, func(a, b Result) int { return a.Begin.Compare(b.Begin) })
+	var longest time.Duration
+	var since time.Time
+	for _, r := range list {
+		if since.IsZero() {
+			since = r.Begin
+		}
+		longest = max(longest, r.End.Sub(since))
+		if r.Outcome == OutcomeRun {
+			since = time.Time{}
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/promise/clients.go
@@ -0,0 +1,169 @@
+package promise
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	defaultKeys    = 200
+	defaultClients = 12
+	requestTimeout = 5 * time.Second
+	defaultThink   = 10 * time.Millisecond
+)
+
+// Clients send a light load until their context ends: reads and writes of the
+// service "route", and POSTs to the service "order" that must not be repeated.
+type Clients struct {
+	// Addresses returns the callers' addresses of the instances that are ready,
+	// as a balancer knows them.
+	Addresses func() []string
+	// Count and Keys are the numbers of clients and keys, Think is the time that
+	// a client waits between requests. Defaults 12, 200 and 10 ms.
+	Count, Keys int
+	Think       time.Duration
+
+	http *http.Client
+
+	mu      sync.Mutex
+	results []Result
+}
+
+// NewClients returns clients with defaults.
+func NewClients(addresses func() []string) *Clients {
+	return &Clients{
+		Addresses: addresses, Count: defaultClients, Keys: defaultKeys, Think: defaultThink,
+		http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: defaultClients}},
+	}
+}
+
+// Run sends until the context ends, and waits for the requests in flight.
+func (c *Clients) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i := range c.Count {
+		wg.Go(func() { c.client(ctx, i) })
+	}
+	wg.Wait()
+	c.http.CloseIdleConnections()
+}
+
+func (c *Clients) client(ctx context.Context, n int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		// Each client has its own keys, so that a key's requests do not overlap
+		// and the time without an answer is that of the key.
+		key := fmt.Sprintf("k%d", (i*c.Count+n)%c.Keys)
+		if addresses := c.Addresses(); len(addresses) > 0 {
+			c.add(c.request(addresses[(i+n)%len(addresses)], key, i))
+		}
+		select {
+		case <-time.After(c.Think):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Clients) add(r Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+}
+
+// request alternates between reads of the divided service and orders that must
+// not be repeated.
+func (c *Clients) request(address, key string, i int) Result {
+	r := Result{Service: "route", Key: key, Method: http.MethodGet}
+	switch i % 4 {
+	case 1:
+		r.Method = http.MethodPut
+	case 3:
+		r.Service, r.Method = "order", http.MethodPost
+	}
+	return c.Send(context.Background(), address, r)
+}
+
+// Send sends one request to an instance and returns the completed result. A
+// request without an ID gets a new one; an ID that is set is a retry.
+func (c *Clients) Send(ctx context.Context, address string, r Result) Result {
+	if r.ID == "" {
+		r.ID = uuid.Must(uuid.NewV7()).String()
+	}
+	r.Begin = time.Now()
+	path := "/items/" + r.Key + "/" + r.ID
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+"/"+r.Service+path, http.NoBody)
+	if err != nil {
+		r.Outcome, r.Wrong, r.End = OutcomeNotRun, err.Error(), time.Now()
+		return r
+	}
+	req.Header.Set("Boragegate-Key", r.Key)
+	req.Header.Set("Idempotency-Key", r.ID)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		r.Outcome = outcomeOf(err)
+		r.End = time.Now()
+		return r
+	}
+	defer resp.Body.Close() //nolint:errcheck // the body was read
+	r.read(resp, path)
+	r.End = time.Now()
+	return r
+}
+
+// outcomeOf is "not-run" only if there was no connection to send on.
+func outcomeOf(err error) string {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return OutcomeNotRun
+	}
+	return OutcomeUnknown
+}
+
+// read sets the outcome, and what is wrong with the answer if it does not
+// belong to the request.
+func (r *Result) read(resp *http.Response, path string) {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.Outcome = OutcomeUnknown
+		return
+	}
+	r.Status = resp.StatusCode
+	if resp.StatusCode != http.StatusOK {
+		var problem struct {
+			Outcome string `json:"outcome"`
+		}
+		if r.Outcome = OutcomeUnknown; json.Unmarshal(body, &problem) == nil && problem.Outcome != "" {
+			r.Outcome = problem.Outcome
+		}
+		return
+	}
+	var answer struct {
+		Path string `json:"path"`
+		Key  string `json:"key"`
+	}
+	r.Outcome = OutcomeRun
+	if err := json.Unmarshal(body, &answer); err != nil {
+		r.Wrong = "incomplete answer"
+		return
+	}
+	if !strings.HasSuffix(answer.Path, path) || answer.Key != r.Key {
+		r.Wrong = "answer of another request: " + answer.Path
+	}
+}
+
+// Take returns the results since the last call.
+func (c *Clients) Take() []Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.results
+	c.results = nil
+	return r
+}
