Report unknown when a repeated safe request may have run

A safe request whose first attempt may have run is repeated. The dispatcher now remembers that an attempt had no certain outcome and answers unknown.

The new golden case 'repetition is refused' failed before (not-run) and passes now: go test ./internal/gateway.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -26,8 +26,19 @@
 )
 
 // dispatch finds a destination and runs the request there. It waits while a
-// hand-over or take-over is under way and repeats attempts that ran nothing.
+// hand-over or take-over is under way and repeats attempts that ran nothing. A
+// safe request is also repeated when it may have run; its outcome is then never
+// not-run, whatever the last attempt said.
 func (g *Gateway) dispatch(c *call) (*http.Response, *failure) {
+	resp, f := g.repeat(c)
+	if f != nil && c.mayHaveRun && f.outcome == OutcomeNotRun {
+		f.outcome = OutcomeUnknown
+	}
+	return resp, f
+}
+
+// repeat runs attempts until one has an answer or no other may follow.
+func (g *Gateway) repeat(c *call) (*http.Response, *failure) {
 	budget := g.budgets.of(c.service.Name)
 	budget.Request()
 	giveUp := g.clock.Now().Add(g.cfg.HandoverWait)
@@ -44,6 +55,7 @@
 				return resp, nil
 			}
 		}
+		c.mayHaveRun = c.mayHaveRun || f.outcome != OutcomeNotRun
 		if f.again == againNever || !c.body.repeatable() || c.ctx.Err() != nil {
 			return nil, f
 		}
--- a/internal/gateway/golden_test.go
+++ b/internal/gateway/golden_test.go
@@ -63,6 +63,8 @@
 		Entry("during a chunked body", "server-dies-in-chunk", "POST", replyAndClose("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n5\nhel")),
 		Entry("during a long body", "server-dies-in-long-body", "POST", replyAndClose("HTTP/1.1 200 OK\nContent-Length: 90000\n\n"+strings.Repeat("x", 70000))),
 		Entry("after it has read a safe request", "server-dies-safe-request", "GET", replyAndClose(""), reply(ok)),
+		Entry("after it has read a safe request whose repetition is refused", "server-dies-safe-request-refused", "GET", replyAndClose(""),
+			reply("HTTP/1.1 503 Service Unavailable\nBoragegate-Outcome: not-run\nRetry-After: 3\nContent-Length: 0\n\n")),
 	)
 
 	It("follows a key to its new owner after 421", func() {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -37,6 +37,8 @@
 	body     *body
 	safe     bool   // a repeated run has no effect
 	avoid    string // target that has refused the request
+
+	mayHaveRun bool // an attempt ended without a certain outcome
 }
 
 // newCall reads what routing and admission need from a request. The returned
