--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -16,6 +17,8 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
+	"github.com/boragegate/boragegate/idempotency"
+	"github.com/boragegate/boragegate/internal/audit"
 	"github.com/boragegate/boragegate/internal/backend"
 	"github.com/boragegate/boragegate/internal/control"
 	"github.com/boragegate/boragegate/internal/gateway"
@@ -24,6 +27,7 @@
 	"github.com/boragegate/boragegate/internal/operator"
 	"github.com/boragegate/boragegate/internal/peer"
 	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/internal/standard"
 	"github.com/boragegate/boragegate/internal/tablesync"
 	"github.com/boragegate/boragegate/ownership"
 	"github.com/boragegate/boragegate/placement"
@@ -33,9 +37,7 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes = 64 << 10
 	// healthInterval is the time between probes of targets without leases.
 	healthInterval = time.Second
 	probeTimeout   = 500 * time.Millisecond
@@ -59,10 +61,17 @@
 	// Plain turns authentication between instances off; otherwise Keys is used.
 	Plain bool
 	Keys  mtls.Files
+	// CallerKeys and OperatorKeys turn TLS on for those listeners. With an
+	// authority, the other side must show a certificate of it.
+	CallerKeys, OperatorKeys mtls.Files
+	// Policy makes placement policies.
+	Policy standard.PolicyMaker
 	// BalancerDelay is the time between failing the readiness check and the
 	// hand-over at a planned stop, in which the balancer takes notice.
 	BalancerDelay time.Duration
-	Logger        zerolog.Logger
+	// Timeouts bound waits; zero fields have the defaults of the settings.
+	Timeouts Timeouts
+	Logger   zerolog.Logger
 	// Recent has the last events of the log; nil reports none.
 	Recent *logging.Recent
 	// Release is the version of the program.
@@ -71,8 +80,28 @@
 	Operators map[[sha256.Size]byte]string
 	// KnownZones are the zones that the table may name; nil accepts every zone.
 	KnownZones []string
-	// Record takes the records of the control core; nil logs them.
-	Record control.Recorder
+}
+
+// Timeouts bound waits of an instance.
+type Timeouts struct {
+	// Store bounds one call of the store. Default 2 s.
+	Store time.Duration
+	// ReadHeader bounds the header of a request. Default 5 s.
+	ReadHeader time.Duration
+	// Idle is the time after which an unused connection closes. Default 1 min.
+	Idle time.Duration
+	// ClockSkew is the allowed difference of the clocks of callers and instances. Default 2 s.
+	ClockSkew time.Duration
+	// IdempotencyRetention is the time for which idempotency keys are kept. Default 1 h.
+	IdempotencyRetention time.Duration
+}
+
+func (t *Timeouts) setDefaults() {
+	t.Store = cmp.Or(t.Store, 2*time.Second)
+	t.ReadHeader = cmp.Or(t.ReadHeader, 5*time.Second)
+	t.Idle = cmp.Or(t.Idle, time.Minute)
+	t.ClockSkew = cmp.Or(t.ClockSkew, 2*time.Second)
+	t.IdempotencyRetention = cmp.Or(t.IdempotencyRetention, time.Hour)
 }
 
 // Instance is one running instance of boragegate.
@@ -87,38 +116,54 @@
 	runner   *control.Runner
 	follower *tablesync.Follower
 	servers  *backend.Client
-	keys     *mtls.Material
-	lists    listeners
-	tables   *tablestore.Tables
-	started  time.Time
+	keys     *mtls.Material // nil in plain mode, like the next two
+
+	callerKeys   *mtls.Material
+	operatorKeys *mtls.Material
+
+	lists   listeners
+	tables  *tablestore.Tables
+	trail   *audit.Trail
+	started time.Time
 
 	t        tomb.Tomb
 	stopping atomic.Bool
+	loads    atomic.Pointer[map[string]float64] // by target, over the last load interval
 }
 
 // New opens the listeners. The instance takes no requests before Start.
 func New(o Options) (*Instance, error) {
+	o.Timeouts.setDefaults()
 	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New(), started: time.Now()}
 	i.logger = o.Logger.With().Str("instance", o.ID).Logger()
 	if err := i.open(); err != nil {
 		i.lists.close()
 		return nil, err
 	}
-	i.assemble()
+	if err := i.assemble(); err != nil {
+		i.lists.close()
+		return nil, err
+	}
 	return i, nil
 }
 
 // open binds the listeners, so that their addresses are known.
 func (i *Instance) open() error {
-	var err error
-	if !i.opts.Plain {
-		if i.keys, err = mtls.Load(i.opts.Keys); err != nil {
+	for to, files := range map[**mtls.Material]mtls.Files{
+		&i.keys: i.opts.Keys, &i.callerKeys: i.opts.CallerKeys, &i.operatorKeys: i.opts.OperatorKeys,
+	} {
+		if files == (mtls.Files{}) {
+			continue
+		}
+		var err error
+		if *to, err = mtls.Load(files); err != nil {
 			return err
 		}
 	}
 	if err := i.lists.open(i.opts.Listen); err != nil {
 		return err
 	}
+	var err error
 	i.peers, err = peer.New(peer.Config{
 		Self: i.opts.ID, Cell: i.opts.Cell, Listen: i.opts.Listen.Peer,
 		Plain: i.opts.Plain, TLS: i.opts.Keys,
@@ -127,26 +172,38 @@
 	return err
 }
 
-func (i *Instance) assemble() {
+func (i *Instance) assemble() error {
+	var err error
 	cfg := ownership.DefaultConfig()
 	cfg.Cell = i.opts.Cell
 	cfg.Incarnation = uuid.NewString()
+	i.trail, err = audit.New(audit.Config{
+		Store: i.opts.Store, Trail: i.opts.Cell, Instance: i.opts.ID, Incarnation: cfg.Incarnation,
+		Logger: i.logger, Metrics: i.metrics,
+	})
+	if err != nil {
+		return err
+	}
 	cfg.Self = i.self()
-	cfg.NewPolicy = func(string) placement.Policy { return placement.NewWeighted(placement.Settings{}) }
+	cfg.NewPolicy = func(string) placement.Policy { return i.opts.Policy.NewPolicy() }
 	i.runner = control.New(control.Config{
 		Core: cfg, Store: i.opts.Store, Servers: i.servers, Peers: i.peers,
 		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
+		StoreTimeout: i.opts.Timeouts.Store,
 	})
 	i.gateway = gateway.New(gateway.Config{
 		Self: i.opts.ID, Zone: i.opts.Zone, Routes: &i.routes, Authority: i.runner,
 		ForwardTransport: i.forwardTransport(), ForwardScheme: i.forwardScheme(),
 		Logger: i.logger, Metrics: i.metrics,
+		Idempotency: idempotency.Config{Skew: i.opts.Timeouts.ClockSkew, Retention: i.opts.Timeouts.IdempotencyRetention},
 	})
 	i.follower = tablesync.New(tablesync.Config{
 		Self: i.opts.ID, Store: i.opts.Store, Peers: i.peers, Members: i.members,
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
+		ReadTimeout: i.opts.Timeouts.Store, Report: i.targetStatus,
 	})
 	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
+	return nil
 }
 
 // admissions lets the control loop stop the admission of requests.
@@ -190,13 +247,6 @@
 	}
 }
 
-func (i *Instance) record(rec ownership.Record) {
-	if i.opts.Record != nil {
-		i.opts.Record(rec)
-	}
-	i.logger.Info().Str("event", rec.Event).Fields(rec.Fields).Send()
-}
-
 // Start starts to take part in the cell and to serve.
 func (i *Instance) Start(ctx context.Context) error {
 	if r, ok := i.opts.Store.(platform.Registrar); ok {
@@ -213,9 +263,10 @@
 		i.t.Go(i.probe)
 		i.t.Go(i.reportLoad)
 		i.t.Go(i.transferRecords)
-		i.serve(i.lists.caller, i.gateway.CallerHandler())
-		i.serve(i.lists.operator, i.operatorHandler())
-		i.serve(i.secure(i.lists.forward), i.gateway.ForwardHandler())
+		i.t.Go(func() error { return i.trail.Run(&i.t) })
+		i.serve(encrypt(i.lists.caller, i.callerKeys), i.gateway.CallerHandler())
+		i.serve(encrypt(i.lists.operator, i.operatorKeys), i.operatorHandler())
+		i.serve(encrypt(i.lists.forward, i.keys), i.gateway.ForwardHandler())
 		return nil
 	})
 	return nil
@@ -230,7 +281,7 @@
 }
 
 func (i *Instance) serve(ln net.Listener, h http.Handler) {
-	srv := i.lists.server(h)
+	srv := i.lists.server(h, i.opts.Timeouts)
 	i.t.Go(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/ownership/planner.go
+++ b/ownership/planner.go
@@ -37,6 +37,7 @@
 
 // servicePlan is the planner's state of one service.
 type servicePlan struct {
+	since  lease.Instant // when the planner began with the service
 	s      *serviceState
 	policy placement.Policy
 	change *change
@@ -67,7 +68,7 @@
 
 // advancePlanner does what is due for the cell, if this instance plans and is in contact.
 func (c *Core) advancePlanner() {
-	if c.plan == nil || !c.inContact() || c.table == nil {
+	if c.plan == nil || !c.inContact() {
 		return
 	}
 	due := c.now >= c.plan.due
@@ -75,14 +76,14 @@
 		c.plan.due = c.now + c.cfg.PlanInterval
 	}
 	c.planCell(due)
-	if c.plan == nil {
+	if c.plan == nil || c.table == nil {
 		return
 	}
 	for _, s := range c.order {
 		sp := c.plan.services[s.name]
 		if sp == nil {
 			sp = &servicePlan{
-				s: s, policy: c.cfg.NewPolicy(s.name), states: map[string]*placement.Assignment{},
+				s: s, since: c.now, policy: c.cfg.NewPolicy(s.name), states: map[string]*placement.Assignment{},
 				moving: map[int]placement.Move{},
 			}
 			c.plan.services[s.name] = sp
