Cover servers that do not check grants by golden runs and random faults

Change: random schedules have such a service with a fault of its health, and check that one instance forwards to a target and one target gets a partition; three golden runs.

--- a/ownership/fakes_test.go
+++ b/ownership/fakes_test.go
@@ -281,11 +281,23 @@
 
 // standard builds a cell with instances i1.. and servers s1.. spread over zones.
 func standard(seed int64, instances, servers, zones, partitions int) *world {
+	return build(seed, instances, servers, zones, partitions, false)
+}
+
+// build is standard with, if asked for, a service whose servers do not check grants.
+func build(seed int64, instances, servers, zones, partitions int, unchecked bool) *world {
 	w := newWorld(seed)
 	w.table.Services = []table.Service{{Name: "route", Divided: true, ChecksGrants: true, Partitions: partitions}}
 	for i := range servers {
 		w.addServer("route", fmt.Sprintf("s%d", i+1), fmt.Sprintf("z%d", i%zones+1))
 	}
+	if unchecked {
+		w.table.Services = append(w.table.Services, table.Service{
+			Name: "depot", Divided: true, Partitions: 4, MaxRequestTime: table.Duration(time.Second),
+		})
+		w.addServer("depot", "d1", "z1")
+		w.addServer("depot", "d2", "z2")
+	}
 	for i := range instances {
 		w.start(fmt.Sprintf("i%d", i+1), fmt.Sprintf("z%d", i%zones+1))
 		w.run(time.Duration(w.rng.Int63n(int64(250 * time.Millisecond))))
--- a/ownership/property_test.go
+++ b/ownership/property_test.go
@@ -20,7 +20,7 @@
 
 var disturbances = []string{
 	"pause", "pause", "cut", "one-way", "freeze", "freeze", "crash-server", "store-down", "store-slow", "store-cut",
-	"lose-reply", "lossy", "delays", "server-cut", "drain", "kill", "restart", "stop",
+	"lose-reply", "lossy", "delays", "server-cut", "drain", "unhealthy", "kill", "restart", "stop",
 }
 
 func drawDisturbance(t *rapid.T) disturbance {
@@ -79,6 +79,14 @@
 	case "delays":
 		w.jitter = d.length / 4
 		w.after(d.length, func() { w.jitter = 200 * time.Microsecond })
+	case "unhealthy":
+		d1 := func(up bool) {
+			for _, id := range w.ids() {
+				w.nodes[id].step(HealthObserved{Target: "depot/d1", Up: up})
+			}
+		}
+		d1(false)
+		w.after(d.length, func() { d1(true) })
 	case "drain":
 		w.drain(d.a, true)
 		w.after(d.length, func() { w.drain(d.a, false) })
@@ -113,6 +121,19 @@
 	w.after(d.length, back)
 }
 
+// unforwarded returns the number of partitions of depot that nobody forwards.
+func (w *world) unforwarded() int {
+	n := 4
+	for _, o := range w.nodes {
+		for _, id := range []string{"depot/d1", "depot/d2"} {
+			if o.forwards(id) {
+				n -= len(o.view.Held[id].Granted)
+			}
+		}
+	}
+	return n
+}
+
 func (w *world) drain(server int, on bool) {
 	t := *w.table
 	t.Version++
@@ -139,7 +160,7 @@
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		w := standard(rapid.Int64().Draw(t, "world"), 5, 4, 3, 8)
+		w := build(rapid.Int64().Draw(t, "world"), 5, 4, 3, 8, true)
 		w.run(4 * time.Second)
 		for _, d := range rapid.SliceOfN(rapid.Custom(drawDisturbance), 1, 12).Draw(t, "faults") {
 			w.apply(d)
@@ -147,11 +168,14 @@
 		}
 		w.run(7 * time.Second) // the longest fault and its consequences
 		for range 18 {
-			if w.run(time.Second); w.unowned("route") == 0 {
+			if w.run(time.Second); w.unowned("route")+w.unforwarded() == 0 {
 				break
 			}
 		}
 		bad := w.broken
+		if n := w.unforwarded(); n > 0 {
+			bad = append(bad, fmt.Sprintf("recovery: %d partitions of depot have no forwarder", n))
+		}
 		if n := w.unowned("route"); n > 0 {
 			bad = append(bad, fmt.Sprintf("recovery: %d partitions have no owner 25 s after the last fault began", n))
 		}
--- a/ownership/scenario_test.go
+++ b/ownership/scenario_test.go
@@ -82,7 +82,7 @@
 func (w *world) watch(d time.Duration) {
 	for range d / (5 * time.Millisecond) {
 		w.run(5 * time.Millisecond)
-		if w.unowned("route") > 0 {
+		if w.unowned("route") > 0 || w.servers["depot/d1"] != nil && w.unforwarded() > 0 {
 			w.gap += 5 * time.Millisecond
 		}
 	}
@@ -149,6 +149,15 @@
 		w.logf("messages from %s are lost for 3s", p.id)
 		w.after(3*time.Second, func() { clear(w.cuts) })
 	}, bound},
+	{"unchecked-hand-over", "two targets that get requests for a partition", [3]int{3, 3, 3}, func(w *world) {
+		w.removeTarget("d1")
+	}, 20 * time.Millisecond},
+	{"unchecked-controller-loss", "two instances that forward to a server that refuses nothing", [3]int{3, 3, 3}, func(w *world) {
+		w.controllerOf("depot/d1").kill()
+	}, bound},
+	{"unchecked-server-loss", "partitions that stay with a server that is down", [3]int{3, 3, 3}, func(w *world) {
+		w.controllerOf("depot/d1").step(HealthObserved{Target: "depot/d1"})
+	}, bound},
 	{"rolling-replacement", "a gap while all instances are replaced", [3]int{3, 3, 3}, func(w *world) {
 		w.replaceAll()
 	}, 0},
@@ -157,7 +166,7 @@
 var _ = Describe("golden runs", func() {
 	for _, s := range scenarios {
 		It(s.name+": guards against "+s.guards, func() {
-			w := standard(7, s.size[0], s.size[1], s.size[2], 2*s.size[1])
+			w := build(7, s.size[0], s.size[1], s.size[2], 2*s.size[1], strings.HasPrefix(s.name, "unchecked"))
 			w.run(6 * time.Second)
 			Expect(w.unowned("route")).To(BeZero())
 			w.log = []string{"guards against " + s.guards}
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -181,20 +181,34 @@
 }
 
 // checkForwarder checks that nobody else forwards to a target whose server does
-// not check grants.
+// not check grants, or for a partition to another target.
 func (n *node) checkForwarder() {
 	for _, r := range n.w.table.Rows {
 		if r.Service != "depot" || !n.forwards(r.ID()) {
 			continue
 		}
 		for _, o := range n.w.nodes {
-			if o != n && o.forwards(r.ID()) {
-				n.w.violate("one forwarder: %s and %s forward to %s", n.id, o.id, r.ID())
+			for _, q := range n.w.table.Rows {
+				switch {
+				case q.Service != "depot" || o == n && q == r || !o.forwards(q.ID()):
+				case q == r:
+					n.w.violate("one forwarder: %s and %s forward to %s", n.id, o.id, r.ID())
+				default:
+					n.checkDisjoint(o, r.ID(), q.ID())
+				}
 			}
 		}
 	}
 }
 
+func (n *node) checkDisjoint(o *node, a, b string) {
+	for p := range n.view.Held[a].Granted {
+		if _, both := o.view.Held[b].Granted[p]; both {
+			n.w.violate("one forwarder: %s forwards partition %d to %s, %s to %s", n.id, p, a, o.id, b)
+		}
+	}
+}
+
 // pause stops the process for a time; what arrives waits.
 func (n *node) pause(d time.Duration) {
 	n.paused = n.w.now + d
