Do not count the reply to a grant from before a lapse

Cause: a server that resumed after its lease had lapsed handled a delayed grant; the controller took the reply for the server's set and extended the lease before it had removed the partitions, which others owned by then. Random faults found it. Change: a lapse forgets the change under way; a set with partitions that were given up is replaced before the lease is extended; a controller that does not know the set never renews a lapsed lease. Figures: the schedule breaks the invariant before the change and not after it (go test ./ownership -run TestFoundByRandomFaults). Conclusion: the schedule stays as a regression test.

--- a/ownership/controller.go
+++ b/ownership/controller.go
@@ -275,7 +275,9 @@
 	}
 	h.state, h.reportAt, c.viewDirty = s, c.now, true
 	if s == TargetLapsed {
-		h.granted, h.synced, h.wantDirty = map[int]uint64{}, false, true
+		// A change of the set that is still under way may arrive when the server
+		// resumes; its reply proves nothing.
+		h.granted, h.synced, h.change, h.wantDirty = map[int]uint64{}, false, call{}, true
 		c.refreshWant(h)
 	}
 	c.record(false, "target.state", "target", h.id, "term", h.term, "state", string(s))
--- a/ownership/property_test.go
+++ b/ownership/property_test.go
@@ -154,6 +154,24 @@
 	}
 }
 
+// TestFoundByRandomFaults keeps a schedule that once gave a partition two owners:
+// the reply to a grant from before a lapse counted as proof of the server's set.
+func TestFoundByRandomFaults(t *testing.T) {
+	w := standard(13, 5, 4, 3, 8)
+	w.run(4 * time.Second)
+	for _, d := range []disturbance{
+		{kind: "pause", a: 4, length: 3 * time.Second, wait: 122 * time.Millisecond},
+		{kind: "restart", a: 1, length: 52 * time.Millisecond, wait: 13 * time.Millisecond},
+		{kind: "freeze", a: 2, length: 940 * time.Millisecond, wait: 3 * time.Second},
+	} {
+		w.apply(d)
+		w.run(d.wait)
+	}
+	if len(w.broken) > 0 {
+		t.Fatal(w.broken)
+	}
+}
+
 // TestRandomFaults guards against two owners, reverted records and falling
 // epochs or terms under any mixture of faults, and against a cell that does not
 // recover when the faults are over. rapid prints the seed of a failure.
--- a/ownership/server.go
+++ b/ownership/server.go
@@ -37,7 +37,8 @@
 		return
 	}
 	if c.blind(h) {
-		if h.renew == 0 {
+		// What the server holds is not known, so a lapsed lease must not revive it.
+		if h.renew == 0 && h.state != TargetLapsed {
 			c.sendRenewal(h)
 		}
 		return
@@ -169,8 +170,11 @@
 	h.compare, c.viewDirty = true, true
 	h.confirmed = max(h.confirmed, ch.set)
 	h.granted = maps.Clone(ch.want)
-	for p := range h.promised {
-		delete(h.granted, p) // released while the call was under way
+	for p, pr := range h.promised {
+		if _, ok := h.granted[p]; ok && pr.done {
+			h.synced = false // the server must lose it before its lease is extended
+		}
+		delete(h.granted, p)
 	}
 }
 
