Merge a planner's late record with that of a member that acted for it

Cause: random faults found a slow write of a lost planner that a successor then reverted, and a first version of a term that counted before the store had it. Change: members know from which versions their record was derived; a successor and a returning planner merge the two records by term; the fence is store-only from the start.

--- a/ownership/cell.go
+++ b/ownership/cell.go
@@ -26,8 +26,12 @@
 	if cell == nil || cell.Name != c.cfg.Cell {
 		return
 	}
+	if c.cell != nil && cell.Version < c.cell.Version && !c.chain.has(cell.Version) {
+		return // written before another member acted; the planner merges it
+	}
 	if !provisional {
 		c.cellSlot.stored = max(c.cellSlot.stored, cell.Version)
+		c.chain.store(cell.Version)
 	}
 	if c.cell != nil && cell.Version <= c.cell.Version {
 		if cell.Version == c.cell.Version && !provisional && c.cellProvisional {
@@ -36,6 +40,7 @@
 		return
 	}
 	old := c.cell
+	c.chain.add(cell.Version)
 	c.cell, c.cellProvisional, c.viewDirty = cell, provisional, true
 	if c.cellProposal != nil && c.cellProposal.Version <= cell.Version {
 		c.cellProposal = nil
@@ -54,6 +59,52 @@
 	c.controlsChangedFrom(old)
 }
 
+// lineage holds the versions of the cell record that the present one was derived from.
+type lineage struct {
+	stored uint64 // every stored version up to this one is an ancestor
+	later  []uint64
+}
+
+func (l *lineage) store(v uint64) {
+	l.stored = max(l.stored, v)
+	l.later = slices.DeleteFunc(l.later, func(o uint64) bool { return o <= l.stored })
+}
+
+func (l *lineage) add(v uint64) {
+	if v > l.stored {
+		l.later = append(l.later, v)
+	}
+}
+
+func (l *lineage) has(v uint64) bool { return v <= l.stored || slices.Contains(l.later, v) }
+
+// merge returns a record with the members of the first and, for each target, the
+// controller with the higher term. The two were derived from the same record by
+// a planner and by a member that acted for it.
+func merge(first, second *Cell) *Cell {
+	next := first.Clone()
+	for i := range next.Controllers {
+		if r, ok := second.Controller(next.Controllers[i].Target); ok && r.Term > next.Controllers[i].Term {
+			next.Controllers[i] = r
+		}
+	}
+	return next
+}
+
+// rebase derives the planner's change again if another member acted in between.
+func (c *Core) rebase() {
+	ch := c.plan.cellChange
+	if !ch.pending() || c.cell.Version <= ch.version {
+		return
+	}
+	next := merge(ch.cell, c.cell)
+	next.Version = nextCellVersion(c.cell.Version, next.PlannerTerm, 0)
+	c.plan.cellChange = &change{
+		slot: c.cellSlot, cell: next, base: c.cell.Version, version: next.Version,
+		expect: ch.expect, storeOnly: ch.storeOnly,
+	}
+}
+
 func (c *Core) membersChanged(old *Cell) {
 	ids := make([]string, 0, len(c.cell.Members))
 	for _, m := range c.cell.Members {
@@ -79,6 +130,7 @@
 	case c.plan == nil || c.plan.term != c.cell.PlannerTerm:
 		c.startPlanner()
 	default:
+		c.rebase()
 		c.plan.controllersChanged(c.cell)
 	}
 	if old == nil || old.Planner != c.cell.Planner || old.PlannerTerm != c.cell.PlannerTerm {
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -40,6 +40,8 @@
 	cellProvisional bool
 	cellProposal    *Cell
 	cellSlot        *slot
+	chain           lineage
+	storeCell       *Cell // record that the store had last
 	terms           map[string]uint64 // highest term heard of, by target
 	services        map[string]*serviceState
 	order           []*serviceState // services by name
--- a/ownership/plan_partitions.go
+++ b/ownership/plan_partitions.go
@@ -73,7 +73,6 @@
 		return // a newer planner exists
 	}
 	c.startChange(sp, base, nil)
-	sp.change.storeOnly, sp.change.expect = true, sl.seen
 }
 
 // refence starts the recovery again if an older planner wrote before the fence.
@@ -100,7 +99,8 @@
 	return defaultPartitions
 }
 
-// startChange brings the next version of the assignment on its way.
+// startChange brings the next version of the assignment on its way. The first one
+// of a term is the fence: it counts only when the store has it.
 func (c *Core) startChange(sp *servicePlan, base *placement.Assignment, changes []placement.Change) {
 	version := base.Version + 1
 	if version>>32 < c.plan.term {
@@ -109,6 +109,7 @@
 	next := base.With(version, changes)
 	sp.change = &change{
 		slot: sp.s.slot, a: next, base: base.Version, version: version,
+		storeOnly: !sp.fenced, expect: sp.s.slot.seen,
 		delta: placement.Delta{Service: sp.s.name, From: base.Version, To: version, Changes: changes},
 	}
 	c.advanceChange(sp.change, c.plan.blocked(sp.change))
--- a/ownership/store.go
+++ b/ownership/store.go
@@ -140,7 +140,10 @@
 			return
 		}
 		s.stored, s.seen = max(s.stored, cell.Version), cell.Version
-		c.adoptCell(cell, false)
+		c.storeCell = cell
+		if c.cell == nil || cell.Version > c.cell.Version || c.chain.has(cell.Version) {
+			c.adoptCell(cell, false)
+		}
 	case kindAssignment:
 		c.observeAssignment(s, o)
 	}
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -14,6 +14,8 @@
 	since lease.Instant
 	// next is the record that is being written.
 	next *Cell
+	// base is the version that the store had when next was made.
+	base uint64
 	// change moves the planner's targets while the store is down.
 	change *change
 	// founding is the record with which this instance founds a cell.
@@ -56,8 +58,13 @@
 }
 
 func (c *Core) writeTakeover() {
-	if c.take.next == nil || c.take.next.Version>>32 != c.cell.PlannerTerm+1 {
+	if c.take.next == nil || c.take.base != c.cellSlot.seen || c.take.next.Version>>32 != c.cell.PlannerTerm+1 {
+		c.take.base = c.cellSlot.seen
 		next := c.cell.Clone()
+		if !c.chain.has(c.cellSlot.seen) {
+			// The planner wrote before it was lost; nobody was told.
+			next = merge(c.storeCell, c.cell)
+		}
 		next.Planner, next.PlannerTerm = c.cfg.Self.ID, c.cell.PlannerTerm+1
 		next.Version = nextCellVersion(c.cell.Version, next.PlannerTerm, 0)
 		c.take.next = next
