Do not release partitions that were granted again

Cause: admission of a partition ended after the planner had given the partition back; the release then took it from the server while the controller counted on it. Change: a release names only partitions that are still promised. Conclusion: the controller and its server agree on the set again.

--- a/ownership/core.go
+++ b/ownership/core.go
@@ -41,7 +41,7 @@
 	cellProposal    *Cell
 	cellSlot        *slot
 	chain           lineage
-	storeCell       *Cell // record that the store had last
+	storeCell       *Cell             // record that the store had last
 	terms           map[string]uint64 // highest term heard of, by target
 	services        map[string]*serviceState
 	order           []*serviceState // services by name
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -63,11 +63,14 @@
 		}
 		return
 	}
-	if h.release.id != 0 {
-		h.release.partitions = append(h.release.partitions, e.Partitions...)
-		e.Partitions = h.release.partitions
+	// A partition that was granted again in the meantime must not be released.
+	ps := slices.DeleteFunc(append(h.release.partitions, e.Partitions...), func(p int) bool {
+		pr, ok := h.promised[p]
+		return !ok || pr.done
+	})
+	if len(ps) > 0 {
+		c.sendRelease(h, ps)
 	}
-	c.sendRelease(h, e.Partitions)
 }
 
 // endControl tells the new controller that nothing is in flight here any more.
