--- /dev/null
+++ b/ownership/join_test.go
@@ -0,0 +1,81 @@
+package ownership
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("members of a cell", func() {
+	var w *world
+	BeforeEach(func() {
+		w = standard(5, 3, 3, 3, 6)
+		w.run(6 * time.Second)
+	})
+	AfterEach(func() { Expect(w.broken).To(BeEmpty()) })
+
+	It("are not removed while they send heartbeats, whatever the platform's list says", func() {
+		clear(w.listed)
+		w.run(15 * time.Second)
+		Expect(w.planner().core.cell.Members).To(HaveLen(3))
+	})
+	It("are not removed while the platform's list names them, and one per interval after that", func() {
+		for _, id := range []string{"i4", "i5", "i6", "i7"} {
+			w.start(id, "z1")
+			w.run(2 * time.Second)
+		}
+		w.nodes["i4"].kill()
+		w.nodes["i5"].kill()
+		w.run(15 * time.Second)
+		Expect(w.planner().core.cell.Members).To(HaveLen(7))
+		delete(w.listed, "i4")
+		delete(w.listed, "i5")
+		w.run(3 * time.Second)
+		Expect(w.planner().core.cell.Members).To(HaveLen(6))
+		w.run(11 * time.Second)
+		Expect(w.planner().core.cell.Members).To(HaveLen(5))
+		Expect(w.unowned("route")).To(BeZero())
+	})
+	It("are replaced by a new one when all are dead and unlisted", func() {
+		for _, id := range w.ids() {
+			w.nodes[id].kill()
+		}
+		w.start("i9", "z1")
+		w.run(8 * time.Second)
+		Expect(w.planner()).To(BeNil(), "the platform still lists them as live")
+		for _, id := range []string{"i1", "i2", "i3"} {
+			delete(w.listed, id)
+		}
+		w.run(8 * time.Second)
+		Expect(w.planner().id).To(Equal("i9"))
+		Expect(w.unowned("route")).To(BeZero())
+	})
+	It("are replaced by their own new processes when all restart at once", func() {
+		for _, id := range w.ids() {
+			w.nodes[id].kill()
+		}
+		for _, id := range w.ids() {
+			w.start(id, w.nodes[id].core.cfg.Self.Zone)
+		}
+		w.run(12 * time.Second)
+		Expect(w.planner().core.cell.Members).To(HaveLen(3))
+		Expect(w.unowned("route")).To(BeZero())
+	})
+	It("get assignments that they missed from their peers", func() {
+		n := w.other(w.planner())
+		w.cuts[[2]string{w.planner().id, n.id}] = true
+		w.drain(1, true)
+		w.run(100 * time.Millisecond)
+		clear(w.cuts)
+		w.run(time.Second)
+		Expect(n.view.Assignments["route"].Version).To(Equal(w.store.recordVersion(kindAssignment, "c1.route")))
+	})
+	It("hand everything over when the last but one stops, and then stop at once", func() {
+		for _, id := range []string{"i1", "i2", "i3"} {
+			w.nodes[id].step(StopRequested{})
+			w.run(3 * time.Second)
+			Expect(w.nodes[id].stopped).To(BeTrue(), id)
+		}
+	})
+})
