--- a/placement/board.go
+++ b/placement/board.go
@@ -38,7 +38,8 @@
 const maxFill = 1e18
 
 // board is the state of one plan: targets, owners and costs. A plan changes
-// the board as it goes, so that later choices see the earlier ones.
+// the board as it goes, so that later choices see the earlier ones. The memory
+// is used again by the next plan.
 type board struct {
 	// nodes are ordered by name, so that a plan does not depend on the order of the input.
 	nodes []node
@@ -52,27 +53,29 @@
 	total float64
 }
 
-// newBoard orders the targets and resolves the owners. Partitions of lost or
-// unlisted targets get nobody as owner.
-func newBoard(in Input, cost []float64) *board {
-	b := &board{
-		nodes:  make([]node, len(in.Targets)),
-		owner:  make([]int32, len(in.Assignment.Owner)),
-		pinned: make([]bool, len(in.Assignment.Owner)),
-		cost:   cost,
-	}
-	for i, t := range in.Targets {
-		b.nodes[i] = node{Target: t}
+// reset orders the targets and resolves the owners. Partitions of lost or
+// unlisted targets get nobody as owner and are returned.
+func (b *board) reset(in Input) (orphans []int32) {
+	b.nodes = b.nodes[:0]
+	for _, t := range in.Targets {
+		b.nodes = append(b.nodes, node{Target: t})
 	}
 	slices.SortFunc(b.nodes, func(x, y node) int { return cmp.Compare(x.Name, y.Name) })
 	living := b.livingNodes(in.Assignment.Targets)
+	if n := len(in.Assignment.Owner); len(b.owner) != n {
+		b.owner, b.pinned, b.cost = make([]int32, n), make([]bool, n), make([]float64, n)
+	}
+	clear(b.pinned)
 	for p, o := range in.Assignment.Owner {
-		b.owner[p] = nobody
+		n := nobody
 		if int(o) < len(living) {
-			b.owner[p] = living[o]
+			n = living[o]
+		}
+		if b.owner[p] = n; n == nobody {
+			orphans = append(orphans, int32(p)) //nolint:gosec // at most 65536 partitions
 		}
 	}
-	return b
+	return orphans
 }
 
 // livingNodes maps the assignment's target indexes to nodes.
@@ -96,17 +99,14 @@
 	return int32(i) //nolint:gosec // fewer than 65536 targets
 }
 
-// sum computes the loads and the total from owners and costs.
+// sum computes the loads from owners and costs.
 func (b *board) sum() {
-	b.total = 0
 	for i := range b.nodes {
 		b.nodes[i].load = 0
 	}
 	for p, o := range b.owner {
-		c := b.cost[p]
-		b.total += c
 		if o != nobody {
-			b.nodes[o].load += c
+			b.nodes[o].load += b.cost[p]
 		}
 	}
 }
--- a/placement/history.go
+++ b/placement/history.go
@@ -29,6 +29,8 @@
 	weight    float64
 	slots     int
 	receiving bool
+	// growing says that the share has changed and the target is not filled up or emptied yet.
+	growing bool
 }
 
 // historyKept is the time for which a target that left the table is remembered.
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -38,6 +38,8 @@
 	// the pause of the hand-over and is not used.
 	epoch  []uint64
 	settle []bool
+	// seen is the assignment whose epochs have been noted.
+	seen *Assignment
 	// outlier is Settings.Outlier.
 	outlier float64
 	// dispersion is the variance of a report relative to its mean.
@@ -80,13 +82,15 @@
 
 // observe takes in the reports of one input. The board has the owners of the
 // assignment, without started moves.
-func (l *loads) observe(in Input, b *board, tau time.Duration) {
+//
+// It returns true if that changes the estimate.
+func (l *loads) observe(in Input, b *board, tau time.Duration) bool {
 	if len(in.Load) != len(l.smooth) {
-		return
+		return false
 	}
 	samples := l.freshTargets(in, b)
 	if samples == nil {
-		return
+		return false
 	}
 	l.sumTargets(in.Load, b, samples)
 	for i := range samples {
@@ -101,6 +105,7 @@
 	l.learnNoise(in.Load, b, samples)
 	l.update(in.Load, b, samples)
 	l.known = l.known || l.busy(b)
+	return true
 }
 
 // busy says that the service uses enough of its slots for its load to be balanced.
@@ -117,13 +122,11 @@
 
 // freshTargets finds the targets with a new report; nil if there are none.
 func (l *loads) freshTargets(in Input, b *board) []sample {
+	l.noteEpochs(in.Assignment)
 	var samples []sample
-	for p, o := range b.owner {
-		if in.Assignment.Epoch[p] != l.epoch[p] {
-			l.epoch[p] = in.Assignment.Epoch[p]
-			l.settle[p] = l.smooth[p] != unseen
-		}
-		if o == nobody || in.Load[p] == l.raw[p] || !valid(in.Load[p]) {
+	for p, x := range in.Load {
+		o := b.owner[p]
+		if x == l.raw[p] || o == nobody || !valid(x) {
 			continue
 		}
 		if samples == nil {
@@ -131,15 +134,33 @@
 		}
 		samples[o].fresh = true
 	}
+	any := false
 	for i := range samples {
 		h := b.nodes[i].hist
 		if h.reports > 0 && in.Now-h.reportAt < minReportGap {
 			samples[i].fresh = false
 		}
+		any = any || samples[i].fresh
+	}
+	if !any {
+		return nil
 	}
 	return samples
 }
 
+// noteEpochs finds the partitions that have moved.
+func (l *loads) noteEpochs(a *Assignment) {
+	if a == l.seen {
+		return
+	}
+	l.seen = a
+	for p, e := range a.Epoch {
+		if e != l.epoch[p] {
+			l.epoch[p], l.settle[p] = e, l.smooth[p] != unseen
+		}
+	}
+}
+
 // valid refuses values that no load can have.
 func valid(x float64) bool { return x >= 0 && !math.IsInf(x, 0) && !math.IsNaN(x) }
 
@@ -285,9 +306,15 @@
 func (l *loads) noise(b *board) []float64 {
 	v := make([]float64, len(b.nodes))
 	smoothed := l.steady / (2 - l.steady)
+	enough := uint16(min(maxCount, 1/smoothed))
 	for p, o := range b.owner {
-		if o != nobody && l.count[p] > 0 {
-			v[o] += l.smooth[p] * max(smoothed, 1/float64(l.count[p]))
+		if o == nobody {
+			continue
+		}
+		if c := l.count[p]; c >= enough {
+			v[o] += l.smooth[p] * smoothed
+		} else if c > 0 {
+			v[o] += l.smooth[p] / float64(c)
 		}
 	}
 	for i := range v {
--- a/placement/makeroom.go
+++ b/placement/makeroom.go
@@ -6,7 +6,7 @@
 	// similarFill is the excess over the best fill up to which nodes are compared by what they give up.
 	similarFill = 0.1
 	// comparedNodes bounds the number of nodes that are compared.
-	comparedNodes = 32
+	comparedNodes = 16
 )
 
 // cheapest returns the node that makes room for the cost by giving up the
@@ -86,14 +86,20 @@
 }
 
 // rooms ranks the nodes but two by the room that they have, as negative keys.
+// The result is valid until the next call.
 func (pl *placer) rooms(v, w int) *ranking {
-	rooms := newRanking(len(pl.b.nodes))
-	for i := range pl.b.nodes {
-		if i != v && i != w && pl.ranks.pos[i] >= 0 {
-			rooms.set(i, pl.beyond(i, 0))
+	if pl.room == nil {
+		pl.room, pl.scratch = newRanking(len(pl.b.nodes)), newRanking(len(pl.b.nodes))
+		for i := range pl.b.nodes {
+			if pl.ranks.pos[i] >= 0 {
+				pl.room.set(i, pl.beyond(i, 0))
+			}
 		}
 	}
-	return rooms
+	pl.scratch.copyFrom(pl.room)
+	pl.scratch.remove(v)
+	pl.scratch.remove(w)
+	return pl.scratch
 }
 
 // givesUp is the number of partitions of node i that carry the load and fit in
@@ -116,17 +122,13 @@
 
 // list returns the partitions of the node by falling cost.
 func (pl *placer) list(i int) []int32 {
-	if pl.parts == nil {
+	if pl.start == nil {
+		pl.start, pl.index = pl.b.group()
 		pl.parts = make([][]int32, len(pl.b.nodes))
-		start, index := pl.b.group()
-		for j := range pl.parts {
-			pl.parts[j] = index[start[j]:start[j+1]:start[j+1]]
-		}
-		for j := range pl.parts {
-			if pl.ranks.pos[j] >= 0 {
-				pl.b.byCost(pl.parts[j])
-			}
-		}
+	}
+	if pl.parts[i] == nil {
+		pl.parts[i] = pl.index[pl.start[i]:pl.start[i+1]]
+		pl.b.byCost(pl.parts[i])
 	}
 	return pl.parts[i]
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -12,8 +12,12 @@
 	large float64
 	// overfill is the part of its share by which a node may exceed it without being relieved.
 	overfill float64
-	// parts are the partitions of each node by falling cost, made when first needed.
-	parts [][]int32
+	// start and index are the partitions grouped by owner, parts those of a node
+	// by falling cost; all made when first needed.
+	start, index []int32
+	parts        [][]int32
+	// room ranks the nodes by their room while a place is searched, scratch is a copy to change.
+	room, scratch *ranking
 	// passes are moves of further heavy partitions that make room for the placed ones.
 	passes []pass
 }
@@ -48,6 +52,7 @@
 func (pl *placer) place(p int) int32 {
 	to := pl.ranks.top()
 	if c := pl.b.cost[p]; c > pl.large {
+		pl.room = nil
 		to = pl.leastFullWith(c)
 	}
 	pl.b.give(p, int32(to)) //nolint:gosec // fewer than 65536 targets
--- /dev/null
+++ b/placement/placementtest/bench_test.go
@@ -0,0 +1,67 @@
+package placementtest
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/boragegate/boragegate/placement"
+)
+
+// sizes are targets and partitions: the current system, a cell of the target
+// size, and whole systems up to the target size.
+var sizes = [][2]int{{15, 1024}, {31, 3072}, {169, 16384}, {338, 32768}, {676, 65536}}
+
+// steadySim is a service with a measured load that has settled.
+func steadySim(targets, partitions int) *Sim {
+	traffic := NewTraffic(1, partitions, 620e6, 0.7, 77*float64(targets), 0.01)
+	s := NewSim(1, placement.NewWeighted(placement.Settings{}), traffic, Targets(targets, 7, 64, 1, 2, 4), false)
+	s.Run(warmUp)
+	s.In.Now += Step
+	s.Policy.Plan(s.In)
+	return s
+}
+
+// BenchmarkPlan measures one call of Plan: "full" assigns every partition,
+// "loss" replaces one lost target, "reports" takes in a load report of every
+// target, "quiet" has nothing to do.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range sizes {
+		s := steadySim(size[0], size[1])
+		name := fmt.Sprintf("targets=%d/partitions=%d/", size[0], size[1])
+		b.Run(name+"full", func(b *testing.B) {
+			in := placement.Input{Assignment: placement.NewAssignment("service", size[1]), Targets: s.In.Targets}
+			for b.Loop() {
+				placement.NewWeighted(placement.Settings{}).Plan(in)
+			}
+		})
+		b.Run(name+"quiet", func(b *testing.B) {
+			in := s.In
+			for b.Loop() {
+				s.Policy.Plan(in)
+			}
+		})
+		b.Run(name+"reports", func(b *testing.B) {
+			in := s.In
+			loads := [][]float64{s.Traffic.Sample(s.rates, 10), s.Traffic.Sample(s.rates, 10)}
+			for i := 0; b.Loop(); i++ {
+				in.Now += Step
+				in.Load = loads[i%2]
+				s.Policy.Plan(in)
+			}
+			s.In.Now, s.In.Load = in.Now, in.Load
+		})
+		b.Run(name+"loss", func(b *testing.B) {
+			in := s.In
+			in.Targets = slices.Clone(in.Targets)
+			in.Targets[5].Lost, in.Targets[5].Usable = true, false
+			for b.Loop() {
+				in.Now += time.Millisecond
+				if len(s.Policy.Plan(in).Urgent) == 0 {
+					b.Fatal("the loss needs no change")
+				}
+			}
+		})
+	}
+}
--- a/placement/placementtest/bounds_test.go
+++ b/placement/placementtest/bounds_test.go
@@ -69,7 +69,7 @@
 	for _, f := range fleets() {
 		n := seeds
 		if len(f.Targets()) > 100 {
-			n = 1
+			n = (seeds + 2) / 4
 		}
 		for seed := range n {
 			row := make([]Result, len(policies))
@@ -104,6 +104,7 @@
 			at := r.String()
 			Expect(r.Steady).To(BeNumerically("<=", boundSteady), at)
 			Expect(r.After).To(BeNumerically("<=", boundSteady), at)
+			Expect(r.Filled).To(BeNumerically(">=", 2-boundSteady), at)
 			Expect(r.QuietMoves).To(BeZero(), at)
 			for _, churn := range []float64{r.Join, r.Leave, r.Weight} {
 				Expect(churn).To(BeNumerically("<=", boundChurn), at)
--- a/placement/placementtest/scenario.go
+++ b/placement/placementtest/scenario.go
@@ -27,6 +27,8 @@
 	QuietMoves int
 	// Join, Leave, Weight and Loss are keys moved over the least that any plan must move.
 	Join, Leave, Weight, Loss float64
+	// Filled is the load of the joined target over its share.
+	Filled float64
 	// After is the largest imbalance at the end of those four changes.
 	After float64
 	// Recovery is the time to an imbalance under 1.2 after the 17 hottest keys change; negative if never.
@@ -38,8 +40,8 @@
 
 // Header and String make a table.
 func Header() string {
-	return fmt.Sprintf("%-38s %-16s %7s %6s %6s %6s %6s %6s %6s %7s %8s %6s", "fleet", "policy",
-		"steady", "moves", "join", "leave", "weight", "loss", "after", "shifted", "to <1.2", "moves")
+	return fmt.Sprintf("%-38s %-16s %7s %6s %6s %6s %6s %6s %6s %6s %7s %8s %6s", "fleet", "policy",
+		"steady", "moves", "join", "filled", "leave", "weight", "loss", "after", "shifted", "to <1.2", "moves")
 }
 
 // String formats one row.
@@ -48,8 +50,8 @@
 	if r.Recovery >= 0 {
 		recovery = r.Recovery.String()
 	}
-	return fmt.Sprintf("%-38s %-16s %7.3f %6d %6.3f %6.3f %6.3f %6.3f %6.3f %7.3f %8s %6d", r.Fleet, r.Policy,
-		r.Steady, r.QuietMoves, r.Join, r.Leave, r.Weight, r.Loss, r.After, r.Shifted, recovery, r.HotMoves)
+	return fmt.Sprintf("%-38s %-16s %7.3f %6d %6.3f %6.3f %6.3f %6.3f %6.3f %6.3f %7.3f %8s %6d", r.Fleet, r.Policy,
+		r.Steady, r.QuietMoves, r.Join, r.Filled, r.Leave, r.Weight, r.Loss, r.After, r.Shifted, recovery, r.HotMoves)
 }
 
 const (
@@ -79,6 +81,7 @@
 	r.Steady, r.QuietMoves = slices.Max(s.Imbalance), s.Count()
 	s.Stale, s.Misleading = 0, 0
 	r.Join = s.Change(&r, Join)
+	r.Filled = s.fill(len(s.In.Targets) - 1)
 	r.Leave = s.Change(&r, Leave)
 	r.Weight = s.Change(&r, Weight)
 	r.Loss = s.Change(&r, Lose)
@@ -144,6 +147,17 @@
 	return s.In.Targets[i].Weight / sum
 }
 
+// fill is the expected load of the target over its share by weight.
+func (s *Sim) fill(i int) float64 {
+	load := 0.0
+	for p, rate := range s.rates {
+		if s.In.Assignment.OwnerOf(p) == s.In.Targets[i].Name {
+			load += rate
+		}
+	}
+	return load / (s.part(i) * s.Traffic.Load)
+}
+
 // keys is the number of keys of the target, or of all if the name is empty.
 func (s *Sim) keys(target string) float64 {
 	sum := 0.0
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -18,6 +18,13 @@
 	return r
 }
 
+// copyFrom makes r a copy of another ranking of the same number of members.
+func (r *ranking) copyFrom(o *ranking) {
+	copy(r.keys, o.keys)
+	copy(r.pos, o.pos)
+	r.heap = append(r.heap[:0], o.heap...)
+}
+
 // top returns the member with the smallest key, or -1.
 func (r *ranking) top() int {
 	if len(r.heap) == 0 {
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -19,19 +19,21 @@
 	start, index []int32
 	// tolerance is the deviation from the share, as a part of it, that is left alone.
 	tolerance float64
-	// fillUp also moves partitions to nodes below their share when no node is
+	// fillUp also moves partitions to receivers below their share when no donor is
 	// far above it, and prefers partitions of mean cost, which keeps key
-	// counts in proportion. Otherwise only nodes above their share are relieved,
+	// counts in proportion. Otherwise only donors above their share are relieved,
 	// of the largest partitions that fit, which moves fewest keys.
 	fillUp bool
+	// keepExcess leaves donors above their share alone once the receivers are filled.
+	keepExcess bool
 	// overfill is the part of its share by which a receiver may exceed it.
 	overfill float64
 	// mean is the mean cost of a partition.
 	mean float64
 }
 
-// newRebalancer returns a rebalancer that takes from the donors.
-func newRebalancer(b *board, tolerance float64, fillUp bool, donors []int) *rebalancer {
+// newRebalancer returns a rebalancer that takes from the donors and gives to the receivers.
+func newRebalancer(b *board, tolerance float64, fillUp bool, donors, receivers []int) *rebalancer {
 	n := len(b.nodes)
 	r := &rebalancer{
 		b: b, donors: newRanking(n), receivers: newRanking(n), lists: make([][]int32, n),
@@ -40,19 +42,25 @@
 	for _, i := range donors {
 		r.donors.set(i, r.urgency(i))
 	}
-	for i := range b.nodes {
-		if n := &b.nodes[i]; n.receives {
-			r.receivers.set(i, n.load-n.share)
-		}
+	for _, i := range receivers {
+		r.receivers.set(i, r.need(&b.nodes[i]))
 	}
 	return r
 }
 
-// urgency ranks donors: overloaded ones by their fill, else by the excess.
+// need ranks receivers by their room; for filling up, relative to their slack.
+func (r *rebalancer) need(n *node) float64 {
+	if r.fillUp {
+		return (n.load - n.share) / r.slack(n)
+	}
+	return n.load - n.share
+}
+
+// urgency ranks donors: overloaded ones by their fill, else by the excess relative to their slack.
 func (r *rebalancer) urgency(i int) float64 {
 	n := &r.b.nodes[i]
 	if r.fillUp {
-		return n.share - n.load
+		return (n.share - n.load) / r.slack(n)
 	}
 	return -n.fill()
 }
@@ -69,12 +77,11 @@
 			return 0, 0, 0, false
 		}
 		donor, receiver := &r.b.nodes[d], &r.b.nodes[v]
-		balanced := donor.load-donor.share <= r.slack(donor)
-		if r.fillUp {
-			balanced = balanced && receiver.share-receiver.load <= r.slack(receiver)
-		}
-		if balanced {
-			return 0, 0, 0, false
+		over := donor.load-donor.share > r.slack(donor) && !r.keepExcess
+		under := receiver.share-receiver.load > r.slack(receiver) && r.fillUp
+		if !over && !under {
+			r.donors.remove(d)
+			continue
 		}
 		if p = r.pick(d, receiver); p < 0 {
 			r.donors.remove(d)
@@ -92,7 +99,7 @@
 		r.donors.set(i, r.urgency(i))
 	}
 	if n := &r.b.nodes[i]; r.receivers.pos[i] >= 0 {
-		r.receivers.set(i, n.load-n.share)
+		r.receivers.set(i, r.need(n))
 	}
 }
 
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -13,34 +13,54 @@
 	relieveTolerance = 0.005
 )
 
-// rebalance fills up targets below their share after shares have changed.
+// rebalance fills up targets below their share, and empties those above it,
+// after a change of shares. Targets that have not changed are not balanced among
+// each other, which would be churn.
 func (r *round) rebalance() {
 	if !r.filling() {
 		return
 	}
-	rb := newRebalancer(r.b, growTolerance, true, r.receivers())
-	if r.drain(rb, &r.moves, func(int32) string { return ReasonWeight }) && len(r.started) == 0 {
-		r.growing = false
+	all, changed := r.receivers(false), r.receivers(true)
+	done := false
+	if r.settling || !r.loads.known {
+		done = r.fillUp(newRebalancer(r.b, growTolerance, true, all, all))
+	} else {
+		to := newRebalancer(r.b, growTolerance, true, all, changed)
+		to.keepExcess = true
+		from := newRebalancer(r.b, growTolerance, true, changed, all)
+		done = r.fillUp(to)
+		done = r.fillUp(from) && done
+	}
+	if done {
+		r.settling = false
+		for _, i := range changed {
+			r.b.nodes[i].hist.growing = false
+		}
 	}
 }
 
-// receivers lists the nodes that receive partitions.
-func (r *round) receivers() []int {
+func (r *round) fillUp(rb *rebalancer) bool {
+	return r.drain(rb, &r.moves, func(int32) string { return ReasonWeight })
+}
+
+// receivers lists the nodes that receive partitions, all or those whose share has changed.
+func (r *round) receivers(changed bool) []int {
 	var is []int
 	for i := range r.b.nodes {
-		if r.b.nodes[i].receives {
+		if n := &r.b.nodes[i]; n.receives && (!changed || n.hist.growing) {
 			is = append(is, i)
 		}
 	}
 	return is
 }
 
-// drain hands out the rebalancer's moves and returns true when none is left.
+// drain hands out the rebalancer's moves and returns true when none is left or deferred.
 func (r *round) drain(rb *rebalancer, charge *budget, reason func(from int32) string) bool {
+	before := len(r.plan.Deferred)
 	for len(r.plan.Deferred) < deferredLimit {
 		p, from, to, ok := rb.next()
 		if !ok {
-			return true
+			return len(r.plan.Deferred) == before
 		}
 		r.emit(charge, p, from, to, reason(from))
 	}
@@ -64,8 +84,8 @@
 // overloaded returns the nodes above their share, apart by whether that is confirmed.
 func (r *round) overloaded() (confirmed, waiting []int) {
 	mean := r.b.total / float64(max(1, len(r.b.cost)))
-	noise := r.loads.noise(r.b)
 	var mild []int
+	var noise []float64
 	for i := range r.b.nodes {
 		n := &r.b.nodes[i]
 		if !n.receives || n.hist.stale(r.in.Now) || n.load < idlePart*float64(n.Slots) {
@@ -73,7 +93,13 @@
 			continue
 		}
 		excess := n.load - n.share
-		limit := max(r.th.enter*n.share, mean) + r.set.NoiseMargin*noise[i]
+		limit := max(r.th.enter*n.share, mean)
+		if excess > limit {
+			if noise == nil {
+				noise = r.loads.noise(r.b)
+			}
+			limit += r.set.NoiseMargin * noise[i]
+		}
 		confirm := r.th.confirm
 		if excess > r.th.severe*n.share {
 			confirm = r.th.severeConfirm
@@ -110,7 +136,7 @@
 			}
 		}
 	}
-	rb := newRebalancer(r.b, relieveTolerance, false, donors)
+	rb := newRebalancer(r.b, relieveTolerance, false, donors, r.receivers(false))
 	for len(r.plan.Deferred) < deferredLimit {
 		p, from, to, ok := rb.next()
 		if !ok {
@@ -170,7 +196,7 @@
 		return
 	}
 	r.b.setShares(r.loads.known)
-	rb := newRebalancer(r.b, growTolerance, true, r.receivers())
+	rb := newRebalancer(r.b, growTolerance, true, r.receivers(false), r.receivers(false))
 	for len(r.plan.Deferred) < deferredLimit {
 		p, from, to, ok := rb.next()
 		if !ok {
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -12,7 +12,7 @@
 	// hand-over in an interval. Defaults 0.04 and 0.02.
 	Budget, StableBudget float64
 	// LeavingBudget is the part of the partitions that may leave draining
-	// targets in a second. Default 0.1: a quarter of all targets drains within
+	// targets, or make room for those of lost targets, in a second. Default 0.1: a quarter of all targets drains within
 	// the 3 s after which a leaving target gets no new work.
 	LeavingBudget float64
 	// Enter is the part by which a target's load must exceed its share before
--- a/placement/weighted.go
+++ b/placement/weighted.go
@@ -14,8 +14,8 @@
 	planned bool
 	moves   budget
 	leaving budget
-	// growing says that shares have changed and targets below theirs are to be filled up.
-	growing bool
+	// settling says that all targets are to be filled up.
+	settling bool
 	// inherited says that the first plan found owners, begun is its time, and
 	// settled says that targets have been filled up once with a precise load
 	// estimate, here or by an earlier planner.
@@ -24,7 +24,9 @@
 	// started are moves that were handed out and are not visible in the assignment yet.
 	started map[int]startedMove
 	reasons reasons
-	ones    []float64
+	board   board
+	// keys are the keys of each partition relative to their mean.
+	keys, lastKeys []float64
 }
 
 // startedMove is a move that was handed out.
@@ -58,6 +60,8 @@
 	th   thresholds
 	b    *board
 	plan Plan
+	// orphans are the partitions without a living owner.
+	orphans []int32
 	// owned says that some partition has an owner.
 	owned bool
 }
@@ -68,7 +72,8 @@
 func (w *Weighted) Plan(in Input) Plan {
 	r := &round{Weighted: w, in: in, th: w.set.thresholds(in.PreferStability)}
 	w.fit(len(in.Assignment.Owner))
-	r.b = newBoard(in, make([]float64, len(in.Assignment.Owner)))
+	r.b = &w.board
+	r.orphans = r.b.reset(in)
 	r.owned = slices.ContainsFunc(in.Assignment.Owner, func(o uint16) bool { return o != NoOwner })
 	if !w.planned {
 		w.begun, w.inherited, w.settled = in.Now, r.owned, r.owned
@@ -80,22 +85,22 @@
 	r.refill()
 	r.urgent()
 	r.vacate()
-	r.rebalance()
-	r.relieve()
-	r.announce()
+	if len(r.plan.Urgent) == 0 {
+		// After a loss, all else waits for the next plan: the loss is planned
+		// sooner, and its changes are in force before others build on them.
+		r.rebalance()
+		r.relieve()
+		r.announce()
+	}
 	w.planned = true
 	return r.plan
 }
 
 // fit sizes the state for n partitions. The number of a service never changes.
 func (w *Weighted) fit(n int) {
-	if len(w.ones) == n {
-		return
-	}
-	w.loads, w.reasons = newLoads(n, w.set.Outlier), newReasons(n)
-	w.ones = make([]float64, n)
-	for i := range w.ones {
-		w.ones[i] = 1
+	if len(w.keys) != n {
+		w.loads, w.reasons = newLoads(n, w.set.Outlier), newReasons(n)
+		w.keys = make([]float64, n)
 	}
 }
 
@@ -114,40 +119,64 @@
 			delete(r.targets, name)
 		}
 	}
-	r.loads.observe(r.in, r.b, r.set.Smoothing)
-	keys := relative(r.in.Keys, r.ones)
-	if r.loads.known {
-		r.loads.costs(r.b.cost, keys)
+	news := r.loads.observe(r.in, r.b, r.set.Smoothing)
+	if !news && r.planned && sameSlice(r.in.Keys, r.lastKeys) {
 		return
 	}
-	copy(r.b.cost, keys)
+	r.lastKeys = r.in.Keys
+	relative(r.in.Keys, r.keys)
+	if r.loads.known {
+		r.loads.costs(r.b.cost, r.keys)
+	} else {
+		copy(r.b.cost, r.keys)
+	}
+	r.b.total = 0
+	for _, c := range r.b.cost {
+		r.b.total += c
+	}
+}
+
+// sameSlice says that the slices share their memory. Keys that change in place
+// are taken in with the next load report.
+func sameSlice(a, b []float64) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// relative returns the keys of each partition relative to their mean, or ones if they are not known.
-func relative(keys, ones []float64) []float64 {
+// leastKeys is the least number of keys, relative to the mean, for which a
+// partition counts. An empty partition still has an owner to be kept track of.
+const leastKeys = 1e-3
+
+// relative writes the keys of each partition relative to their mean, or ones if they are not known.
+func relative(keys, part []float64) {
 	sum := 0.0
 	for _, k := range keys {
 		sum += k
 	}
-	if len(keys) != len(ones) || sum <= 0 {
-		return ones
-	}
-	part := make([]float64, len(keys))
-	for i, k := range keys {
-		part[i] = k / sum * float64(len(keys))
+	known := len(keys) == len(part) && sum > 0
+	scale := float64(len(keys)) / sum
+	for i := range part {
+		part[i] = 1
+		if known {
+			part[i] = max(keys[i]*scale, leastKeys)
+		}
 	}
-	return part
 }
 
-// applyStarted counts started moves as done and forgets those that ended.
+// applyStarted counts started moves as done and forgets those that ended. A
+// target that did not get its move is filled up again.
 func (r *round) applyStarted() {
 	for p, s := range r.started {
 		to := r.b.find(s.to)
 		if to != nobody && r.b.owner[p] == to {
 			r.reasons.note(Change{Partition: p, Target: s.to}, s.reason, s.at)
+			delete(r.started, p)
+			continue
 		}
 		over := r.in.InFlight == 0 || r.in.Now-s.at > startedTimeout
-		if over || to == nobody || r.b.owner[p] == nobody || r.b.owner[p] == to || r.b.nodes[to].Lost {
+		if over || to == nobody || r.b.owner[p] == nobody || r.b.nodes[to].Lost {
+			if to != nobody && s.reason == ReasonWeight {
+				r.b.nodes[to].hist.growing = true
+			}
 			delete(r.started, p)
 			continue
 		}
@@ -174,7 +203,7 @@
 		}
 		n.frozen = !n.receives && !n.Lost && !n.Leaving && n.Weight > 0
 		if n.hist.changed(n, r.b.total*n.Weight/weights) && r.planned {
-			r.growing = true
+			n.hist.growing = true
 		}
 	}
 	r.mature()
@@ -184,13 +213,18 @@
 // mature starts to fill up targets once by load when the estimate is precise.
 func (r *round) mature() {
 	if r.loads.known && !r.settled && r.loads.rounds >= settledRounds {
-		r.growing, r.settled = true, true
+		r.settling, r.settled = true, true
 	}
 }
 
-// filling says that targets below their share are filled up: after a change of
+// filling says that targets are filled up to their share: after a change of
 // shares, and always by number of keys while the load is not known.
-func (r *round) filling() bool { return r.ready() && (r.growing || !r.loads.known) }
+func (r *round) filling() bool {
+	return r.ready() && (r.settling || !r.loads.known || slices.ContainsFunc(r.b.nodes, node.growing))
+}
+
+// growing says that the target's share has changed and is not filled yet.
+func (n node) growing() bool { return n.receives && n.hist.growing }
 
 // ready says that costs are good enough for filling up. A new planner that finds
 // owners waits for load reports, since the owners may have been chosen by load.
@@ -204,6 +238,9 @@
 // eligible says that the target may own partitions.
 func (n *node) eligible() bool { return n.Usable && !n.Lost && !n.Leaving && n.Weight > 0 }
 
+// vacates says that the target has partitions that it should not have.
+func (n node) vacates() bool { return n.load > 0 && (n.Leaving || n.Weight <= 0) }
+
 func (r *round) refill() {
 	n := float64(len(r.b.owner))
 	r.moves.refill(r.in.Now, max(1, r.th.budget*n), r.set.BudgetInterval)
@@ -212,21 +249,15 @@
 
 // urgent gives partitions without a living owner a new one.
 func (r *round) urgent() {
-	var orphans []int32
-	for p, o := range r.b.owner {
-		if o == nobody {
-			orphans = append(orphans, int32(p)) //nolint:gosec // at most 65536 partitions
-		}
-	}
-	if len(orphans) == 0 {
+	if len(r.orphans) == 0 {
 		return
 	}
 	pl := newPlacer(r.b, r.b.failingZones(r.in.Now))
 	if pl == nil {
 		return
 	}
-	r.plan.Urgent = make([]Change, 0, len(orphans))
-	r.placeAll(pl, orphans, &r.moves, func(p int, _, to int32) {
+	r.plan.Urgent = make([]Change, 0, len(r.orphans))
+	r.placeAll(pl, r.orphans, &r.leaving, func(p int, _, to int32) {
 		c := Change{Partition: p, Target: r.b.nodes[to].Name}
 		r.plan.Urgent = append(r.plan.Urgent, c)
 		reason := ReasonLost
@@ -239,9 +270,12 @@
 
 // vacate moves partitions off targets that should have none.
 func (r *round) vacate() {
+	if !slices.ContainsFunc(r.b.nodes, node.vacates) {
+		return
+	}
 	var ps []int32
 	for p, o := range r.b.owner {
-		if o != nobody && (r.b.nodes[o].Leaving || r.b.nodes[o].Weight <= 0) {
+		if o != nobody && r.b.nodes[o].vacates() {
 			ps = append(ps, int32(p)) //nolint:gosec // at most 65536 partitions
 		}
 	}
@@ -298,7 +332,7 @@
 		}
 	}
 	if len(donors) > 0 {
-		rb := newRebalancer(r.b, r.th.enter, false, donors)
+		rb := newRebalancer(r.b, r.th.enter, false, donors, r.receivers(false))
 		rb.overfill = r.th.enter
 		r.drain(rb, charge, func(int32) string { return ReasonHotKey })
 		pl.refresh()
