--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -1,6 +1,6 @@
 // Package peer carries control messages between instances: frames with msgpack
-// bodies over one outgoing TCP connection per peer. Delivery is not guaranteed;
-// messages to one peer arrive in order within a priority, late ones included.
+// bodies over one outgoing TCP connection per peer. Messages may be lost;
+// those that arrive from one peer arrive in the order of their priority's queue.
 //
 // Send only queues. One goroutine per peer connects and writes, one per
 // incoming connection reads and calls Deliver.
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -37,6 +38,9 @@
 type Config struct {
 	// Self is the ID of this instance.
 	Self string
+	// Incarnation is that of this process. Heartbeats that carry it are sent
+	// without it; the receiver takes it from the hello.
+	Incarnation string
 	// Cell is the name of this instance's cell.
 	Cell string
 	// Listen is the host:port of the peer listener.
@@ -67,10 +71,9 @@
 	logs     *rate.Limiter
 	tomb     tomb.Tomb
 
-	mu    sync.Mutex
-	links map[string]*link
-	// inbound has the open incoming connections, with the peer's ID once known.
-	inbound map[net.Conn]string
+	mu      sync.Mutex
+	links   map[string]*link
+	inbound map[net.Conn]*session
 }
 
 // New starts listening.
@@ -83,7 +86,7 @@
 		budget:  newBudget(cfg.LowRate, cfg.LowBurst),
 		logs:    rate.NewLimiter(logRate, logBurst),
 		links:   map[string]*link{},
-		inbound: map[net.Conn]string{},
+		inbound: map[net.Conn]*session{},
 	}
 	var err error
 	if !cfg.Plain {
@@ -126,7 +129,7 @@
 // Send queues a message for a member and returns at once. A message that cannot
 // be encoded is counted and logged.
 func (t *Transport) Send(to ownership.Member, msg ownership.Message) {
-	frame, kind, err := encode(msg)
+	frame, kind, err := encode(omitIncarnation(msg, t.cfg.Incarnation))
 	if err != nil {
 		t.count("unencodable", 1)
 		t.report(to.ID, "peer message not sent", err)
@@ -144,7 +147,7 @@
 		t.tomb.Go(l.run)
 	}
 	l.setAddress(to.PeerAddress)
-	l.queue.put(kind, frame)
+	l.queue.put(time.Now(), kind, messageTypes[kind], frame)
 }
 
 // Close ends all connections and waits for the goroutines.
--- a/internal/tablesync/exchange.go
+++ b/internal/tablesync/exchange.go
@@ -11,7 +11,7 @@
 // poll reads the store, less often in a large fleet.
 func (f *Follower) poll() error {
 	for {
-		ctx, cancel := context.WithTimeout(f.t.Context(nil), readTimeout) //nolint:staticcheck // tomb takes nil for its own context
+		ctx, cancel := context.WithTimeout(f.t.Context(nil), f.cfg.ReadTimeout) //nolint:staticcheck // tomb takes nil for its own context
 		err := f.Refresh(ctx)
 		cancel()
 		f.mu.Lock()
@@ -63,7 +63,7 @@
 		version = t.Version
 	}
 	stamp := lease.Stamp(f.now()) //nolint:gosec // instants are not negative
-	f.cfg.Peers.Send(m, ownership.TableRequest{Stamp: stamp, Version: version})
+	f.cfg.Peers.Send(m, ownership.TableRequest{Stamp: stamp, Version: version, Targets: f.cfg.Report()})
 }
 
 // Receive handles a message of a peer. It reports whether the message was one
@@ -84,6 +84,9 @@
 	to, ok := f.member(from)
 	f.mu.Lock()
 	f.inForce[from] = Version{Version: req.Version, Heard: time.Now()}
+	for _, s := range req.Targets {
+		f.targets[s.Target] = s
+	}
 	f.notify()
 	reply := ownership.TableUpdate{Stamp: req.Stamp, ConfirmedAgeMS: -1}
 	if f.current != nil {
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -36,7 +36,6 @@
 	// roundsPerCycle is the number of rounds in which every member is asked once.
 	// A cycle of 4 s leaves 3 s of the 7 s bound for a lost message.
 	roundsPerCycle = 8
-	readTimeout    = 2 * time.Second
 )
 
 // Peers sends messages to other instances; Send does not block.
@@ -54,6 +53,10 @@
 	// Adopt is called with every version that the instance puts in force, in rising order.
 	Adopt  func(t *table.Table)
 	Logger zerolog.Logger
+	// Report returns the state of the targets that this instance controls.
+	Report func() []ownership.TargetStatus
+	// ReadTimeout bounds one read of the store.
+	ReadTimeout time.Duration
 }
 
 // Follower follows the table. Its methods are safe for concurrent use.
@@ -68,11 +71,20 @@
 	confirmed lease.Instant
 	known     bool
 	inForce   map[string]Version
+	targets   map[string]ownership.TargetStatus
 	next      int
 	changed   chan struct{}
 	storeErr  error
 }
 
+// Target returns the state of a target that another instance controls, as last heard.
+func (f *Follower) Target(id string) (ownership.TargetStatus, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.targets[id]
+	return s, ok
+}
+
 // Version is the table version that an instance has in force, as last heard.
 type Version struct {
 	Version uint64
@@ -81,7 +93,7 @@
 
 // New returns a follower that has not started.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, start: time.Now(), inForce: map[string]Version{}, changed: make(chan struct{})}
+	return &Follower{cfg: cfg, start: time.Now(), inForce: map[string]Version{}, targets: map[string]ownership.TargetStatus{}, changed: make(chan struct{})}
 }
 
 // Start starts to follow.
