Prove goodput under overload and stop pausing full targets

Change: only servers that shed load or cannot be reached are avoided; the load on the refusal steers the rest. TestGoodput runs the entry's policy and real gates in simulated time; further tests cover selection, hand-over counts, load reports and the stop.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -21,6 +21,8 @@
 	// answerReserve is the time before the deadline at which a waiting request
 	// is given up, so that the answer still reaches its caller.
 	answerReserve = 5 * time.Millisecond
+	// maxAvoid bounds the time for which a target that takes no requests is avoided.
+	maxAvoid = time.Second
 	// maxLaterAttempts bounds the attempts of one request after failures.
 	maxLaterAttempts = 3
 )
@@ -120,11 +122,16 @@
 		return
 	}
 	switch f.slug {
-	case "server-shedding", "server-unreachable", "queue-full", "rate":
-		s.pause(g.clock.Now().Add(min(f.retryAfter, time.Second)))
-		c.avoid = d.target.Row.Target
-		f.again = againElsewhere
+	case "server-shedding", "server-unreachable":
+		s.pause(g.clock.Now().Add(min(f.retryAfter, maxAvoid)))
+	case "queue-full", "deadline", "rate":
+		// The load on the answer tells enough. A pause would leave the target
+		// idle while the others are overloaded.
+	default:
+		return
 	}
+	c.avoid = d.target.Row.Target
+	f.again = againElsewhere
 }
 
 // countedBody calls end once, when the body is complete or given up.
--- /dev/null
+++ b/internal/gateway/goodput_test.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/boragegate/boragegate/admission"
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/table"
+)
+
+// Bounds of section 9 of the design page.
+const (
+	minGoodputAt2  = 0.95
+	minGoodputAt10 = 0.90
+)
+
+// Sizes of the simulated service: its capacity is 4 × 6 slots / 20 ms = 1200/s.
+const (
+	simTargets  = 4
+	simSlots    = 6
+	simService  = 20 * time.Millisecond
+	simDeadline = 200 * time.Millisecond
+	simTime     = 2 * time.Second
+	simWarmUp   = time.Second
+)
+
+// simulation is an entry instance with its real policy, and controllers with
+// real gates in front of simulated servers, in simulated time.
+type simulation struct {
+	gates   map[string]*admission.Gate
+	service func(target string) time.Duration
+	lies    string  // target that reports no load
+	hot     float64 // share of requests for one key
+	hotID   string  // owner of that key
+}
+
+// RoundTrip plays the instance in front of the target.
+func (s *simulation) RoundTrip(req *http.Request) (*http.Response, error) {
+	id := req.Header.Get(headerTarget)
+	deadline, _ := req.Context().Deadline()
+	w := httptest.NewRecorder()
+	gate := s.gates[id]
+	ticket, err := gate.Acquire(req.Context(), admission.Request{Key: req.Header.Get(headerKey), Deadline: deadline})
+	load := gate.Load()
+	w.Header().Set(headerLoad, fmt.Sprintf("%d,%d", load.Running, load.Queued))
+	if id == s.lies {
+		w.Header().Set(headerLoad, "0,0")
+	}
+	if refusal := new(admission.Refusal); errors.As(err, &refusal) {
+		w.Header().Set(headerAgain, string(againNever))
+		f := unavailable(string(refusal.Reason), "")
+		f.retryAfter = refusal.RetryAfter
+		f.write(w, "")
+		return w.Result(), nil
+	}
+	defer ticket.Release()
+	time.Sleep(s.service(id) / 2 * time.Duration(100+rand.IntN(100)) / 75)
+	return w.Result(), nil
+}
+
+func (s *simulation) entry() *Gateway {
+	service := &route.Service{
+		Service:    table.Service{Name: "svc", Divided: s.hot > 0, Partitions: 1024},
+		Assignment: placement.NewAssignment("svc", 1024),
+	}
+	for i := range simTargets {
+		row := table.Row{Service: "svc", Target: "t" + strconv.Itoa(i), Weight: 1, Slots: simSlots, Queue: 40}
+		service.Targets = append(service.Targets, &route.Target{Row: row, Ready: true, ForwardAddress: "127.0.0.1:1"})
+		s.gates[row.ID()] = admission.NewGate(limitsOf(row), clockwork.NewRealClock())
+	}
+	service.Owners = service.Targets
+	for p := range service.Assignment.Owner {
+		service.Assignment.Owner[p] = uint16(p % simTargets)
+	}
+	s.hotID = owner(service, "hot").target.Row.ID()
+	holder := &route.Holder{}
+	holder.Store(&route.Snapshot{Serving: true, Services: map[string]*route.Service{"svc": service}})
+	return New(Config{Routes: holder, Authority: always{}, ForwardTransport: s})
+}
+
+// run offers requests at a multiple of the capacity on a fixed schedule. It
+// returns the answers in time per second, and the share of the requests for
+// other keys at the hot key's owner that were answered in time.
+func (s *simulation) run(times float64) (goodput, cold float64) {
+	s.gates = map[string]*admission.Gate{}
+	g := s.entry()
+	service := g.cfg.Routes.Load().Services["svc"]
+	rate := times * simTargets * simSlots / simService.Seconds()
+	var good, coldSent, coldGood atomic.Int64
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for n := 0; float64(n) < rate*simTime.Seconds(); n++ {
+		time.Sleep(time.Until(begin.Add(time.Duration(float64(n) / rate * float64(time.Second)))))
+		key := "k" + strconv.Itoa(rand.IntN(5000))
+		if rand.Float64() < s.hot {
+			key = "hot"
+		}
+		measured := time.Since(begin) > simWarmUp
+		isCold := key != "hot" && owner(service, key).target.Row.ID() == s.hotID
+		wg.Go(func() {
+			sent := time.Now()
+			r := httptest.NewRequest(http.MethodGet, "/svc/x", nil)
+			r.Header.Set(headerKey, key)
+			r.Header.Set(headerDeadline, strconv.FormatInt(simDeadline.Milliseconds(), 10))
+			w := httptest.NewRecorder()
+			g.CallerHandler().ServeHTTP(w, r)
+			ok := w.Code == http.StatusOK && time.Since(sent) <= simDeadline
+			if measured && ok {
+				good.Add(1)
+			}
+			if measured && isCold {
+				coldSent.Add(1)
+				if ok {
+					coldGood.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return float64(good.Load()) / (simTime - simWarmUp).Seconds(), float64(coldGood.Load()) / float64(max(coldSent.Load(), 1))
+}
+
+// TestGoodput guards against work for callers that have given up, against
+// targets that attract requests which they cannot serve, and against a hot key
+// that starves the others, when more is asked than can be served.
+func TestGoodput(t *testing.T) {
+	usual := func(string) time.Duration { return simService }
+	slower := func(factor time.Duration) func(string) time.Duration {
+		return func(id string) time.Duration {
+			if id == "svc/t0" {
+				return factor * simService
+			}
+			return simService
+		}
+	}
+	for name, s := range map[string]*simulation{
+		"healthy":     {service: usual},
+		"slow target": {service: slower(5)},
+		"false load":  {service: slower(3), lies: "svc/t0"},
+		"hot key":     {service: usual, hot: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if testing.Short() {
+				t.Skip("takes long with the race detector")
+			}
+			synctest.Test(t, func(t *testing.T) {
+				goodput := map[float64]float64{}
+				peak := 0.0
+				for _, times := range []float64{0.5, 1, 2, 10} {
+					var cold float64
+					goodput[times], cold = s.run(times)
+					peak = max(peak, goodput[times])
+					// At its capacity the owner is asked for twice what it can
+					// serve by the hot key alone, and for half by the others.
+					if times == 1 && s.hot > 0 && cold < minGoodputAt10 {
+						t.Errorf("only %.2f of the requests for other keys at the hot key's owner are served", cold)
+					}
+					t.Logf("%4.1f × capacity: %4.0f/s in time; other keys at the hot key's owner %.2f", times, goodput[times], cold)
+				}
+				if r := goodput[2] / peak; r < minGoodputAt2 {
+					t.Errorf("goodput at 2 × capacity is %.3f of the peak", r)
+				}
+				if r := goodput[10] / peak; r < minGoodputAt10 {
+					t.Errorf("goodput at 10 × capacity is %.3f of the peak", r)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/policy_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/idempotency"
+	"github.com/boragegate/boragegate/internal/route"
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/table"
+)
+
+var _ = Describe("target selection", func() {
+	var (
+		clock    *clockwork.FakeClock
+		gateway  *Gateway
+		service  *route.Service
+		snapshot *route.Holder
+	)
+	target := func(name, zone string, weight float64) *route.Target {
+		return &route.Target{Ready: true, ForwardAddress: "x", Row: table.Row{Service: "s", Target: name, Zone: zone, Weight: weight, Slots: 4}}
+	}
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		snapshot = &route.Holder{}
+		gateway = New(Config{Zone: "a", Routes: snapshot, Clock: clock})
+		service = &route.Service{Service: table.Service{Name: "s"}}
+	})
+	// shares counts the choices among the targets while nothing is outstanding.
+	shares := func() map[string]int {
+		count := map[string]int{}
+		for range 4000 {
+			if t := gateway.choose(service, &call{}); t != nil {
+				count[t.Row.Target]++
+			}
+		}
+		return count
+	}
+
+	It("leaves out targets that cannot serve", func() {
+		drained, zero, unready := target("drained", "a", 1), target("zero", "a", 0), target("unready", "a", 1)
+		drained.Row.Drain, unready.Ready = true, false
+		service.Targets = []*route.Target{drained, zero, unready}
+		Expect(shares()).To(BeEmpty())
+	})
+
+	It("prefers the own zone, and targets that are ready for longer", func() {
+		// Guards against a cold target that gets its full share at once.
+		young := target("young", "a", 1)
+		young.ReadySince = clock.Now().UnixMilli()
+		service.Targets = []*route.Target{target("near", "a", 1), target("far", "b", 1), young}
+		got := shares()
+		Expect(got["near"]).To(BeNumerically(">", got["far"]))
+		Expect(got["far"]).To(BeNumerically(">", got["young"]))
+	})
+
+	It("draws by weight", func() {
+		service.Targets = []*route.Target{target("one", "a", 1), target("two", "a", 1), target("eight", "a", 8)}
+		Expect(shares()["eight"]).To(BeNumerically(">", 2000))
+	})
+
+	It("believes its own count more than reports, and no old report", func() {
+		// Guards against a target that reports no load, one that reports far too
+		// much, and against the load of minutes ago.
+		s := gateway.statistics.of("s/t")
+		estimate := func() float64 { n, _, _ := s.estimate(clock.Now(), 4); return n }
+		s.inflight.Add(3)
+		s.report(clock.Now(), 0)
+		Expect(estimate()).To(BeEquivalentTo(3))
+		s.report(clock.Now(), 1000)
+		Expect(estimate()).To(BeEquivalentTo(7))
+		clock.Advance(reportValid)
+		Expect(estimate()).To(BeEquivalentTo(3))
+	})
+
+	It("forgets that a target was slow", func() {
+		s := gateway.statistics.of("s/t")
+		s.observe(clock.Now(), time.Second)
+		clock.Advance(10 * latencyHalfLife)
+		_, latency, _ := s.estimate(clock.Now(), 4)
+		Expect(latency).To(BeNumerically("~", unmeasured, time.Millisecond))
+	})
+})
+
+var _ = Describe("in-flight requests", func() {
+	It("are complete before a hand-over is confirmed", func() {
+		// Guards against a confirmed hand-over while a request runs, and against
+		// requests that are admitted after it.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			i := newInflight(clockwork.NewFakeClock())
+			tenure, running, stopped, done := idempotency.Tenure{Term: 1, Epoch: 1}, 0, false, false
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				switch rapid.IntRange(0, 4).Draw(t, "step") {
+				case 0, 1:
+					if i.begin(3, tenure) == stopped {
+						t.Fatalf("admission with stopped = %v", stopped)
+					}
+					if !stopped {
+						running++
+					}
+				case 2:
+					if running > 0 {
+						i.end(3, 0)
+						running--
+					}
+				case 3:
+					if !stopped {
+						stopped, done = true, false
+						i.stop([]int{3, 4}, func(int) idempotency.Tenure { return tenure }, func() { done = true })
+					}
+				case 4:
+					if stopped && done {
+						tenure.Epoch, stopped = tenure.Epoch+1, false
+					}
+				}
+				if stopped && done != (running == 0) {
+					t.Fatalf("confirmed = %v with %d running", done, running)
+				}
+			}
+		})
+	})
+
+	It("linger at a server that does not notice the end of a connection", func() {
+		// Guards against a hand-over while such a server still works on a request.
+		clock := clockwork.NewFakeClock()
+		i := newInflight(clock)
+		var done atomic.Bool
+		tenure := idempotency.Tenure{Term: 1, Epoch: 1}
+		Expect(i.begin(0, tenure)).To(BeTrue())
+		i.end(0, time.Minute)
+		i.stop([]int{0}, func(int) idempotency.Tenure { return tenure }, func() { done.Store(true) })
+		clock.Advance(time.Minute - 1)
+		Expect(done.Load()).To(BeFalse())
+		clock.Advance(1)
+		Eventually(done.Load).Should(BeTrue())
+	})
+})
+
+var _ = Describe("load and shutdown", func() {
+	It("reports slot time by partition and key, once", func() {
+		// Guards against load that is counted twice, or for another interval.
+		clock := clockwork.NewFakeClock()
+		u := &usage{since: clock.Now()}
+		for range 3 {
+			u.add(7, "hot", 2*time.Second)
+		}
+		u.add(8, "cold", time.Second)
+		u.add(noPartition, "", time.Second)
+		clock.Advance(10 * time.Second)
+		Expect(u.take("s/t", clock.Now())).To(Equal(ownership.LoadReport{
+			Target:     "s/t",
+			Partitions: []ownership.PartitionLoad{{Partition: 7, Load: 0.6}, {Partition: 8, Load: 0.1}},
+			HotKeys:    []ownership.KeyLoad{{Key: "hot", Partition: 7, Load: 0.6}, {Key: "cold", Partition: 8, Load: 0.1}},
+		}))
+		clock.Advance(time.Second)
+		Expect(u.take("s/t", clock.Now()).Partitions).To(BeEmpty())
+	})
+
+	It("finds each key with a large share of the load", func() {
+		// Guards against a hot key that is lost among many others.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var s sketch
+			sums, total := map[string]float64{}, 0.0
+			for range rapid.IntRange(1, 2000).Draw(t, "n") {
+				key := "k" + string(rune('0'+rapid.IntRange(0, 400).Draw(t, "key")))
+				if rapid.IntRange(0, 9).Draw(t, "hot") == 0 {
+					key = "hot"
+				}
+				s.add(key, 0, 1)
+				sums[key]++
+				total++
+			}
+			found := map[string]bool{}
+			for _, c := range s.top(sketchSize) {
+				if found[c.key] = true; c.sum < sums[c.key] || c.sure() > sums[c.key] {
+					t.Fatalf("%+v, but the sum is %f", c, sums[c.key])
+				}
+			}
+			for key, sum := range sums {
+				if sum > total/sketchSize && !found[key] {
+					t.Fatalf("%s with %f of %f is not found", key, sum, total)
+				}
+			}
+		})
+	})
+
+	It("waits for the requests in flight at a stop", func() {
+		// Guards against a stop that cuts off a request.
+		s := newSession(divided())
+		arrived, release := make(chan struct{}), make(chan struct{})
+		s.script("t1", replyAfter(func() { close(arrived); <-release }, ok))
+		c := s.connect().send("GET /route/routes/k1 HTTP/1.1\nHost: h\n\n")
+		<-arrived
+		expired, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(s.a.gateway.Shutdown(expired)).To(MatchError(context.Canceled))
+		Expect(s.a.gateway.InFlight()).To(Equal(1))
+		close(release)
+		Expect(c.receive().StatusCode).To(Equal(http.StatusOK))
+		Expect(s.a.gateway.Shutdown(context.Background())).To(Succeed())
+	})
+
+	It("takes no requests while the instance must not", func() {
+		// Guards against requests that run under a table that cannot be confirmed.
+		holder := &route.Holder{}
+		holder.Store(&route.Snapshot{Reason: "the table is not confirmed"})
+		w := httptest.NewRecorder()
+		New(Config{Routes: holder}).CallerHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/route/x", nil))
+		Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(w.Header()).To(And(HaveKeyWithValue(headerOutcome, []string{"not-run"}), HaveKey(headerRetryAfter)))
+	})
+})
