--- a/internal/control/actions.go
+++ b/internal/control/actions.go
@@ -20,10 +20,12 @@
 		r.t.Go(func() error { r.write(a); return nil })
 	case ownership.StopAdmission:
 		r.cfg.Admissions.StopAdmission(a.Target, a.Term, a.Partitions, func() {
-			r.Post(ownership.AdmissionStopped{Target: a.Target, Term: a.Term, Partitions: a.Partitions})
+			r.Post(ownership.AdmissionStopped(a))
 		})
 	case ownership.ExtendContact:
 		r.contactUntil.Store(int64(a.Until))
+	case ownership.ExtendLease:
+		r.extendLease(a)
 	case ownership.PublishRoutes:
 		r.view.Store(a.View)
 		r.publish(a.View)
@@ -46,7 +48,7 @@
 }
 
 func (r *Runner) read(a ownership.ReadObject) {
-	ctx, cancel := context.WithTimeout(r.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(r.context(), r.cfg.StoreTimeout)
 	defer cancel()
 	obj, err := r.cfg.Store.Get(ctx, a.Kind, a.Name)
 	r.Post(ownership.StoreReplied{ID: a.ID, Object: obj, Err: err})
@@ -55,7 +57,7 @@
 // write creates or updates an object. After a conflict or a lost reply it reads
 // the object, so that the core can recognise its own write.
 func (r *Runner) write(a ownership.WriteObject) {
-	ctx, cancel := context.WithTimeout(r.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(r.context(), r.cfg.StoreTimeout)
 	defer cancel()
 	obj, err := r.put(ctx, a.Object)
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) || errors.Is(err, platform.ErrOutcomeUnknown) {
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -36,7 +36,6 @@
 	// roundsPerCycle is the number of rounds in which every member is asked once.
 	// A cycle of 4 s leaves 3 s of the 7 s bound for a lost message.
 	roundsPerCycle = 8
-	readTimeout    = 2 * time.Second
 )
 
 // Peers sends messages to other instances; Send does not block.
@@ -54,6 +53,8 @@
 	// Adopt is called with every version that the instance puts in force, in rising order.
 	Adopt  func(t *table.Table)
 	Logger zerolog.Logger
+	// ReadTimeout bounds one read of the store.
+	ReadTimeout time.Duration
 }
 
 // Follower follows the table. Its methods are safe for concurrent use.
@@ -70,6 +71,7 @@
 	inForce   map[string]Version
 	next      int
 	changed   chan struct{}
+	storeErr  error
 }
 
 // Version is the table version that an instance has in force, as last heard.
@@ -115,6 +117,24 @@
 	return f.known && f.now()-f.confirmed < ConfirmationValid, f.known
 }
 
+// ConfirmedAge returns the time since the version in force was known to be the
+// newest, or -1 ms if it never was.
+func (f *Follower) ConfirmedAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.known {
+		return -time.Millisecond
+	}
+	return f.now() - f.confirmed
+}
+
+// StoreError returns the error of the last read of the store, or nil.
+func (f *Follower) StoreError() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeErr
+}
+
 // InForce returns the version that each instance has in force, as last heard.
 func (f *Follower) InForce() map[string]Version {
 	f.mu.Lock()
