--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -21,6 +21,14 @@
 	acceptPause = 50 * time.Millisecond
 )
 
+// session is one incoming connection.
+type session struct {
+	// peer is the authenticated ID, empty before the hello. Guarded by Transport.mu.
+	peer string
+	// done is closed when nothing more is delivered.
+	done chan struct{}
+}
+
 func (t *Transport) accept() error {
 	for {
 		conn, err := t.listener.Accept()
@@ -56,7 +64,7 @@
 		_ = conn.Close()
 		return false
 	}
-	t.inbound[conn] = ""
+	t.inbound[conn] = &session{done: make(chan struct{})}
 	return true
 }
 
@@ -64,20 +72,26 @@
 	_ = conn.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	close(t.inbound[conn].done)
 	delete(t.inbound, conn)
 }
 
 // replace closes an older connection of the same peer, which a partition or a
-// restart may have left half open.
+// restart may have left half open, and waits until it delivers nothing more.
 func (t *Transport) replace(conn net.Conn, from string) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	for other, id := range t.inbound {
-		if id == from {
+	var older []*session
+	for other, s := range t.inbound {
+		if s.peer == from {
 			_ = other.Close()
+			older = append(older, s)
 		}
 	}
-	t.inbound[conn] = from
+	t.inbound[conn].peer = from
+	t.mu.Unlock()
+	for _, s := range older {
+		<-s.done
+	}
 }
 
 // receive serves one incoming connection until it ends.
@@ -89,14 +103,14 @@
 		t.reject("", err)
 		return
 	}
-	from, err := t.admit(secured, identity)
+	h, err := t.admit(secured, identity)
 	if err != nil {
-		t.reject(from, err)
+		t.reject(h.Instance, err)
 		return
 	}
-	t.replace(conn, from)
-	if err := t.deliverAll(conn, secured, from); !ended(err) {
-		t.reject(from, err)
+	t.replace(conn, h.Instance)
+	if err := t.deliverAll(conn, secured, h); !ended(err) {
+		t.reject(h.Instance, err)
 	}
 }
 
@@ -115,7 +129,7 @@
 }
 
 // deliverAll delivers messages until the connection ends and returns why, never nil.
-func (t *Transport) deliverAll(raw, conn net.Conn, from string) error {
+func (t *Transport) deliverAll(raw, conn net.Conn, from hello) error {
 	r := bufio.NewReader(conn)
 	for {
 		_ = raw.SetDeadline(time.Now().Add(readTimeout))
@@ -127,11 +141,11 @@
 		if err != nil {
 			return err
 		}
-		if err := checkSender(from, msg); err != nil {
+		if err := checkSender(from.Instance, msg); err != nil {
 			return err
 		}
 		t.count("messages_received", 1)
-		t.cfg.Deliver(from, msg)
+		t.cfg.Deliver(from.Instance, restoreIncarnation(msg, from.Incarnation))
 	}
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -17,9 +17,12 @@
 	// wait is below the time in which a returning peer should be in contact again.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
+	// maxDoublings is enough to reach maxBackoff.
+	maxDoublings = 5
 	// writeTimeout ends a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
-	// idleAfter closes a connection without messages, for example to a former member.
+	// idleAfter ends the link to a peer to which nothing is sent, for example a
+	// former member, also while it cannot be reached.
 	idleAfter = 30 * time.Second
 )
 
@@ -35,6 +38,9 @@
 	id    string
 	queue *queue
 
+	// failures counts the connections that failed since the last hello.
+	failures int
+
 	mu      sync.Mutex
 	address string
 	// moved receives when the address changed.
@@ -68,40 +74,48 @@
 	}
 }
 
-// run connects while there is something to send, until the transport stops or the link is idle.
+// run keeps a connection until the transport stops or the link is idle.
 func (l *link) run() error {
-	backoff := minBackoff
 	for l.t.tomb.Alive() {
 		conn, err := l.connect()
 		if err == nil {
-			backoff = minBackoff
+			l.failures = 0
 			err = l.serve(conn)
 		} else {
 			l.t.count("connect_errors", 1)
 		}
-		if errors.Is(err, errIdle) && l.retire() {
+		if l.retire() {
 			return nil
 		}
-		if !errors.Is(err, errIdle) && !errors.Is(err, errNewAddress) && l.t.tomb.Alive() {
-			l.t.report(l.id, "peer connection lost", err)
-			l.t.pause(jitter(backoff))
-			backoff = min(2*backoff, maxBackoff)
+		if !errors.Is(err, errIdle) && !errors.Is(err, errNewAddress) {
+			l.retryLater(err)
 		}
 	}
 	return nil
 }
 
+// retryLater waits before the next attempt. Only the first failure in a row is logged.
+func (l *link) retryLater(err error) {
+	if l.failures == 0 && l.t.tomb.Alive() {
+		l.t.report(l.id, "peer connection lost", err)
+	}
+	backoff := min(minBackoff<<min(l.failures, maxDoublings), maxBackoff)
+	l.failures++
+	l.t.pause(jitter(backoff))
+}
+
 // jitter returns a random time between half and all of d, so that instances do
 // not reconnect to a restarted peer at the same moment.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1) //nolint:gosec // no secret
 }
 
-// retire removes the link if nothing was queued since it became idle.
+// retire removes the link, with what is still queued, if nothing was sent to the
+// peer for idleAfter.
 func (l *link) retire() bool {
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
-	if !l.queue.empty() {
+	if !l.queue.unused(time.Now(), idleAfter) {
 		return false
 	}
 	delete(l.t.links, l.id)
@@ -173,7 +187,7 @@
 		return true
 	}
 	for {
-		frame, ok := l.queue.next(mayLow)
+		frame, ok := l.queue.next(time.Now(), mayLow)
 		if !ok {
 			break
 		}
