Never extend a lease over a set that is not known

Cause: random faults found a server that its controller could not reach; its lease lapsed and its partitions moved. A new controller that did not know the newest assignment yet renewed the lease and revived the server's old set. Change: such a controller does not call the server. A member that acts for a lost planner while the store is down takes only targets without partitions, because the store may have a last assignment that nobody knows. Conclusion: exclusivity goes first; a safe take-over in this case is open.

--- a/ownership/join.go
+++ b/ownership/join.go
@@ -21,7 +21,11 @@
 
 // advanceJoin creates the cell, asks to join it, or replaces a dead one.
 func (c *Core) advanceJoin() {
-	if c.member() || c.stopping || c.stopped {
+	if c.member() {
+		c.readWhileLost()
+		return
+	}
+	if c.stopping || c.stopped {
 		return
 	}
 	c.overdue(c.cellSlot)
@@ -79,6 +83,20 @@
 	c.take.founding = next
 }
 
+// readWhileLost reads the record now and then while a member is out of contact:
+// an operator may have made the cell smaller.
+func (c *Core) readWhileLost() {
+	if !c.returning {
+		c.joining.nextAt = c.now + c.cfg.SuspendFor
+		return
+	}
+	c.overdue(c.cellSlot)
+	if c.now >= c.joining.nextAt && c.cellSlot.ready(c.now) {
+		c.joining.nextAt = c.now + c.cfg.SuspendFor
+		c.readObject(c.cellSlot)
+	}
+}
+
 // onJoin notes a process that wants to join.
 func (c *Core) onJoin(from string, m JoinRequest) {
 	if from != m.Member.ID {
--- a/ownership/join_test.go
+++ b/ownership/join_test.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"encoding/json"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -62,6 +64,28 @@
 		Expect(w.planner().core.cell.Members).To(HaveLen(3))
 		Expect(w.unowned("route")).To(BeZero())
 	})
+	It("go on without a majority that an operator forgets", func() {
+		last := w.planner().id
+		var lost []string
+		for _, id := range w.ids() {
+			if id != last {
+				w.nodes[id].kill()
+				lost = append(lost, id)
+			}
+		}
+		w.run(3 * time.Second)
+		Expect(w.unowned("route")).To(Equal(6), "no majority is left")
+		o := w.store.objects["cell/c1"]
+		cell := w.nodes[last].core.cell.Clone() // what the command "instances forget" writes
+		cell.Members = slices.DeleteFunc(cell.Members, func(m Member) bool { return slices.Contains(lost, m.ID) })
+		cell.PlannerTerm++
+		cell.Version = cell.PlannerTerm << 32
+		o.Value, _ = json.Marshal(cell)
+		_, err := w.store.put(o)
+		Expect(err).NotTo(HaveOccurred())
+		w.run(4 * time.Second)
+		Expect(w.unowned("route")).To(BeZero())
+	})
 	It("get assignments that they missed from their peers", func() {
 		n := w.other(w.planner())
 		w.cuts[[2]string{w.planner().id, n.id}] = true
--- a/ownership/server.go
+++ b/ownership/server.go
@@ -37,11 +37,7 @@
 		return
 	}
 	if c.blind(h) {
-		// What the server holds is not known, so a lapsed lease must not revive it.
-		if h.renew == 0 && h.state != TargetLapsed {
-			c.sendRenewal(h)
-		}
-		return
+		return // the server may hold what others own; its lease must not be extended
 	}
 	c.stopPromised(h)
 	if h.change.id == 0 && (!h.synced || h.compare) {
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -92,6 +92,11 @@
 	}
 }
 
+func (c *Core) leased(target string) bool {
+	svc, ok := c.tableService(serviceOf(target))
+	return !ok || svc.Leased()
+}
+
 // rank is the number of living members before this one in the record's order.
 func (c *Core) rank() int {
 	n := 0
@@ -107,7 +112,8 @@
 }
 
 // actForPlanner takes over the targets of a lost planner while the store is
-// down. Nothing else is decided: the servers keep the partitions that they have.
+// down, if they own no partitions. Others wait for the store, which may have a
+// last assignment of the planner that nobody else knows.
 func (c *Core) actForPlanner() {
 	if c.take.change == nil || c.take.change.base != c.cell.Version {
 		next := c.cell.Clone()
@@ -119,7 +125,7 @@
 		}
 		changed := false
 		for i := range next.Controllers {
-			if r := &next.Controllers[i]; r.Instance == c.cell.Planner {
+			if r := &next.Controllers[i]; r.Instance == c.cell.Planner && !c.leased(r.Target) {
 				r.Instance, r.Term, r.KeepSet, r.MinVersion = c.cfg.Self.ID, r.Term+2+index, true, 0
 				changed = true
 			}
