--- a/ownership/controller.go
+++ b/ownership/controller.go
@@ -13,9 +13,8 @@
 	id      string
 	service string
 	term    uint64
-	// minVersion and keepSet are those of the controller's record.
+	// minVersion is that of the controller's record.
 	minVersion uint64
-	keepSet    bool
 	// leased targets own partitions; checked ones check grants and are called.
 	leased, checked bool
 
@@ -41,7 +40,6 @@
 	synced   bool           // granted is what the server has
 	compare  bool           // want and granted may differ
 	starting bool           // the server is not ready yet
-	fresh    bool           // the server restarted under this controller
 
 	set       uint64 // version of the newest change of the set
 	confirmed uint64 // version that the server has confirmed
@@ -98,17 +96,14 @@
 		return
 	}
 	if h := c.held[r.Target]; h != nil && h.term == r.Term {
-		if h.keepSet && !r.KeepSet {
-			h.synced = false
-		}
-		h.minVersion, h.keepSet, h.wantDirty = r.MinVersion, r.KeepSet, true
+		h.minVersion, h.wantDirty = r.MinVersion, true
 		return
 	}
 	if h := c.held[r.Target]; h != nil {
 		c.remove(h)
 	}
 	h := &holding{
-		id: r.Target, service: serviceOf(r.Target), term: r.Term, minVersion: r.MinVersion, keepSet: r.KeepSet,
+		id: r.Target, service: serviceOf(r.Target), term: r.Term, minVersion: r.MinVersion,
 		leased: svc.Leased(), checked: svc.Leased() && svc.ChecksGrants,
 		state: TargetUnknown, promised: map[int]promise{}, granted: map[int]uint64{}, wantDirty: true,
 		reportAt: c.now,
@@ -226,9 +221,6 @@
 			delete(h.promised, p)
 		}
 	}
-	if h.keepSet && !h.fresh {
-		h.granted = h.want // the server refuses what it does not have
-	}
 }
 
 // advanceControl does what is due for the targets of this instance. An instance
--- a/ownership/plan_cell.go
+++ b/ownership/plan_cell.go
@@ -81,8 +81,6 @@
 		case max(info.seenTerm, c.terms[r.Target]) > r.Term:
 			c.rename(s, r, max(info.seenTerm, c.terms[r.Target])+1)
 			changed = true
-		case r.KeepSet && c.fenced(serviceOf(r.Target)):
-			r.KeepSet, r.MinVersion, changed = false, c.headVersion(r.Target), true
 		}
 	}
 	if due {
@@ -107,7 +105,7 @@
 func (c *Core) rename(s *spread, r *Controller, term uint64) {
 	to := s.pick(r.Target)
 	c.record(true, "controller.named", "target", r.Target, "from", r.Instance, "to", to, "term", term)
-	r.Instance, r.Term, r.KeepSet, r.MinVersion = to, term, false, c.headVersion(r.Target)
+	r.Instance, r.Term, r.MinVersion = to, term, c.headVersion(r.Target)
 }
 
 // headVersion is the highest version of the target's assignment that may be in
@@ -128,11 +126,6 @@
 	return s.version()
 }
 
-func (c *Core) fenced(service string) bool {
-	sp := c.plan.services[service]
-	return sp != nil && sp.fenced
-}
-
 // candidates returns the members that may control targets and those that are lost.
 func (c *Core) candidates(cell *Cell) (can []Member, lost map[string]bool) {
 	for _, m := range cell.Members {
@@ -241,7 +234,7 @@
 func (c *Core) restartControllers(next *Cell, id string) {
 	for i := range next.Controllers {
 		if r := &next.Controllers[i]; r.Instance == id {
-			r.Term, r.KeepSet, r.MinVersion = r.Term+1, false, c.headVersion(r.Target)
+			r.Term, r.MinVersion = r.Term+1, c.headVersion(r.Target)
 		}
 	}
 }
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -31,9 +31,6 @@
 	// MinVersion is the version of the service's assignment that the instance needs
 	// before it grants anything.
 	MinVersion uint64 `json:"min_version,omitempty" msgpack:"v"`
-	// KeepSet says that the instance was named without the planner: it renews what
-	// the server holds and grants nothing until a newer planner is in office.
-	KeepSet bool `json:"keep_set,omitempty" msgpack:"k"`
 }
 
 // Cell is the record of a cell: object "cell/<name>" in the store.
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -10,7 +10,7 @@
 func (c *Core) onReleaseOrder(from string, m ReleaseOrder) {
 	h := c.held[m.Target]
 	s := c.services[serviceOf(m.Target)]
-	if h == nil || h.term != m.Term || h.keepSet || from != c.cell.Planner || s == nil || s.a == nil || !c.inContact() {
+	if h == nil || h.term != m.Term || from != c.cell.Planner || s == nil || s.a == nil || !c.inContact() {
 		return
 	}
 	h.reportAt = c.now
--- a/ownership/server.go
+++ b/ownership/server.go
@@ -59,7 +59,7 @@
 // not know yet what the planner decided.
 func (c *Core) blind(h *holding) bool {
 	s := c.services[h.service]
-	return h.keepSet || s == nil || s.version() < h.minVersion
+	return s == nil || s.version() < h.minVersion
 }
 
 func (c *Core) request(h *holding) ServerRequest {
@@ -180,7 +180,6 @@
 	h.notBefore = h.grantor.Until()
 	h.grantor.Reset()
 	h.synced, h.granted, c.viewDirty = false, map[int]uint64{}, true
-	h.fresh = true
 	if h.release.id != 0 {
 		c.releaseReplied(h, ServerReplied{Err: errRestarted}) // asks the new process
 	}
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -126,7 +126,7 @@
 		changed := false
 		for i := range next.Controllers {
 			if r := &next.Controllers[i]; r.Instance == c.cell.Planner && !c.leased(r.Target) {
-				r.Instance, r.Term, r.KeepSet, r.MinVersion = c.cfg.Self.ID, r.Term+2+index, true, 0
+				r.Instance, r.Term, r.MinVersion = c.cfg.Self.ID, r.Term+2+index, 0
 				changed = true
 			}
 		}
