--- a/ownership/controller.go
+++ b/ownership/controller.go
@@ -13,9 +13,8 @@
 	id      string
 	service string
 	term    uint64
-	// minVersion and keepSet are those of the controller's record.
+	// minVersion is that of the controller's record.
 	minVersion uint64
-	keepSet    bool
 	// leased targets own partitions; checked ones check grants and are called.
 	leased, checked bool
 
@@ -41,7 +40,6 @@
 	synced   bool           // granted is what the server has
 	compare  bool           // want and granted may differ
 	starting bool           // the server is not ready yet
-	fresh    bool           // the server restarted under this controller
 
 	set       uint64 // version of the newest change of the set
 	confirmed uint64 // version that the server has confirmed
@@ -98,22 +96,19 @@
 		return
 	}
 	if h := c.held[r.Target]; h != nil && h.term == r.Term {
-		if h.keepSet && !r.KeepSet {
-			h.synced = false
-		}
-		h.minVersion, h.keepSet, h.wantDirty = r.MinVersion, r.KeepSet, true
+		h.minVersion, h.wantDirty = r.MinVersion, true
 		return
 	}
 	if h := c.held[r.Target]; h != nil {
 		c.remove(h)
 	}
 	h := &holding{
-		id: r.Target, service: serviceOf(r.Target), term: r.Term, minVersion: r.MinVersion, keepSet: r.KeepSet,
+		id: r.Target, service: serviceOf(r.Target), term: r.Term, minVersion: r.MinVersion,
 		leased: svc.Leased(), checked: svc.Leased() && svc.ChecksGrants,
 		state: TargetUnknown, promised: map[int]promise{}, granted: map[int]uint64{}, wantDirty: true,
 		reportAt: c.now,
 	}
-	free := c.freeAt(r.Target, old)
+	free := c.freeAt(r, old)
 	h.grantor = lease.NewGrantor(c.cfg.Lease, free)
 	if h.leased && !h.checked {
 		h.startAt = free
@@ -130,13 +125,13 @@
 }
 
 // freeAt is a moment by which the previous controller was out of contact; now if
-// nothing is known about it.
-func (c *Core) freeAt(target string, old *Cell) lease.Instant {
+// nothing is known about it, also because this instance missed a record.
+func (c *Core) freeAt(r Controller, old *Cell) lease.Instant {
 	if old == nil {
 		return c.now
 	}
-	prev, ok := old.Controller(target)
-	if !ok || prev.Instance == c.cfg.Self.ID {
+	prev, ok := old.Controller(r.Target)
+	if !ok || prev.Instance == c.cfg.Self.ID || prev.Term+1 != r.Term {
 		return c.now
 	}
 	if lost, by := c.lost(prev.Instance); lost {
@@ -149,7 +144,7 @@
 // in the record of a majority is out of contact or knows of it.
 func (c *Core) outOfContactBound() lease.Instant {
 	t := c.cfg.Lease
-	t.Length = c.cfg.ContactWindow
+	t.Length = c.cfg.ContactWindow + behindGrace
 	return t.GrantorLength()
 }
 
@@ -185,7 +180,7 @@
 // onControlEnded lets this instance start at a server that does not check grants
 // before the old controller is certainly out of contact.
 func (c *Core) onControlEnded(m ControlEnded) {
-	if h := c.held[m.Target]; h != nil && m.Term < h.term && h.state == TargetUnknown {
+	if h := c.held[m.Target]; h != nil && m.Term+1 == h.term && h.state == TargetUnknown {
 		h.startAt, h.quietAt = c.now, c.now
 	}
 }
@@ -226,9 +221,6 @@
 			delete(h.promised, p)
 		}
 	}
-	if h.keepSet && !h.fresh {
-		h.granted = h.want // the server refuses what it does not have
-	}
 }
 
 // advanceControl does what is due for the targets of this instance. An instance
--- a/ownership/server.go
+++ b/ownership/server.go
@@ -37,11 +37,7 @@
 		return
 	}
 	if c.blind(h) {
-		// What the server holds is not known, so a lapsed lease must not revive it.
-		if h.renew == 0 && h.state != TargetLapsed {
-			c.sendRenewal(h)
-		}
-		return
+		return // the server may hold what others own; its lease must not be extended
 	}
 	c.stopPromised(h)
 	if h.change.id == 0 && (!h.synced || h.compare) {
@@ -63,7 +59,7 @@
 // not know yet what the planner decided.
 func (c *Core) blind(h *holding) bool {
 	s := c.services[h.service]
-	return h.keepSet || s == nil || s.version() < h.minVersion
+	return s == nil || s.version() < h.minVersion
 }
 
 func (c *Core) request(h *holding) ServerRequest {
@@ -184,7 +180,6 @@
 	h.notBefore = h.grantor.Until()
 	h.grantor.Reset()
 	h.synced, h.granted, c.viewDirty = false, map[int]uint64{}, true
-	h.fresh = true
 	if h.release.id != 0 {
 		c.releaseReplied(h, ServerReplied{Err: errRestarted}) // asks the new process
 	}
