--- a/placement/placementtest/slopes_test.go
+++ b/placement/placementtest/slopes_test.go
@@ -149,6 +149,14 @@
 		packed, _ := encoded(report)
 		add("load report msgpack", "B", "partition", n, packed)
 	}
+	for _, n := range []int{8, 16, 31, 40} {
+		c := ownership.Cell{Name: "cell-01", Planner: "instance-0001", Members: make([]ownership.Member, 8), Controllers: make([]ownership.Controller, n)}
+		for i := range c.Controllers {
+			c.Controllers[i] = ownership.Controller{Target: fmt.Sprintf("design/target-%04d", i), Instance: "instance-0001", Term: 1234}
+		}
+		_, text := encoded(c)
+		add("cell record JSON", "B", "target", n, text)
+	}
 	for _, n := range []int{256, 1024, 4096, 16384} {
 		add("hot keys memory", "B", "counted key", n, retained(func() any { return placement.NewHotKeys(n) }))
 		h := placement.NewHotKeys(n)
@@ -159,6 +167,15 @@
 		packed, _ := encoded(h.Top(n))
 		add("hot keys msgpack, 17-byte names", "B", "key", n, packed)
 	}
+	for _, m := range []any{
+		ownership.ServerRequest{Service: "design", Target: "target-0123", Term: 1234, Boot: "b81f2c3d4e5f6a7b", Answers: 5120e9, LeaseMS: 500, WaitMS: 200, Set: 12},
+		ownership.ServerReply{Boot: "b81f2c3d4e5f6a7b", Stamp: 5320e9, Term: 1234, Set: 12, MaxEpoch: 7<<32 | 123, InFlight: 20, State: "ok"},
+		ownership.Heartbeat{Stamp: 5120e9, CellVersion: 7<<32 | 123},
+		ownership.HeartbeatAck{Stamp: 5120e9, CellVersion: 7<<32 | 123},
+	} {
+		packed, text := encoded(m)
+		fmt.Printf("%-37s msgpack %.0f B, JSON %.0f B\n", fmt.Sprintf("%T", m), packed, text)
+	}
 	for _, name := range order {
 		fmt.Println(series[name])
 		if _, _, r2 := series[name].fit(); series[name].unit == "B" {
