--- a/ownership/server.go
+++ b/ownership/server.go
@@ -14,6 +14,9 @@
 	callSlack = 150 * time.Millisecond
 	// callRetry is the time between calls to a server that fails.
 	callRetry = 50 * time.Millisecond
+	// releaseTimeout is the time after which a release is asked again. The server
+	// may take longer to finish what is in flight; asking again does no harm.
+	releaseTimeout = 2 * time.Second
 	// defaultMaxRequestTime bounds requests of services that do not say.
 	defaultMaxRequestTime = 30 * time.Second
 	// steadyReports is the number of report intervals between reports of a target
@@ -34,7 +37,8 @@
 		return
 	}
 	if c.blind(h) {
-		if h.renew == 0 {
+		// What the server holds is not known, so a lapsed lease must not revive it.
+		if h.renew == 0 && h.state != TargetLapsed {
 			c.sendRenewal(h)
 		}
 		return
@@ -166,8 +170,11 @@
 	h.compare, c.viewDirty = true, true
 	h.confirmed = max(h.confirmed, ch.set)
 	h.granted = maps.Clone(ch.want)
-	for p := range h.promised {
-		delete(h.granted, p) // released while the call was under way
+	for p, pr := range h.promised {
+		if _, ok := h.granted[p]; ok && pr.done {
+			h.synced = false // the server must lose it before its lease is extended
+		}
+		delete(h.granted, p)
 	}
 }
 
