Measure msgpack sizes as the frames between instances use them

The slopes encoded integers at full width, while peers use the shortest form, so assignments looked larger than they are.

--- a/placement/placementtest/slopes_test.go
+++ b/placement/placementtest/slopes_test.go
@@ -1,6 +1,7 @@
 package placementtest
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -83,12 +84,19 @@
 	return placement.NewAssignment("design", partitions).With(7<<32|123, changes)
 }
 
-func encoded(v any) (packed, text float64) {
-	b, err := msgpack.Marshal(v)
-	Expect(err).NotTo(HaveOccurred())
+// packed encodes as the frames between instances do.
+func packed(v any) []byte {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseCompactInts(true)
+	Expect(e.Encode(v)).To(Succeed())
+	return b.Bytes()
+}
+
+func encoded(v any) (frame, text float64) {
 	t, err := json.Marshal(v)
 	Expect(err).NotTo(HaveOccurred())
-	return float64(len(b)), float64(len(t))
+	return float64(len(packed(v))), float64(len(t))
 }
 
 // TestSlopes prints the points and fits that docs/CAPACITY.md is worked out
@@ -106,10 +114,10 @@
 	}
 	for _, n := range []int{256, 1024, 4096, 16384, 65536} {
 		a := assignment(n)
-		packed, text := encoded(a)
-		add("assignment msgpack", "B", "partition", n, packed)
+		frame, text := encoded(a)
+		add("assignment msgpack", "B", "partition", n, frame)
 		add("assignment JSON", "B", "partition", n, text)
-		add("assignment msgpack encode", "us", "partition", n, best(func() { _, _ = msgpack.Marshal(a) }))
+		add("assignment msgpack encode", "us", "partition", n, best(func() { packed(a) }))
 		add("assignment JSON encode", "us", "partition", n, best(func() { _, _ = json.Marshal(a) }))
 		add("snapshot memory", "B", "partition", n, retained(func() any { return a.With(a.Version+1, nil) }))
 		add("next version", "us", "partition", n, best(func() { a.With(a.Version+1, nil) }))
@@ -117,15 +125,15 @@
 		for p := range n / 22 {
 			cell.Owner[p*22], cell.Epoch[p*22], cell.Targets = uint16(p%31), a.Version, a.Targets[:min(31, len(a.Targets))] //nolint:gosec // below 31
 		}
-		packed, text = encoded(cell)
-		add("assignment of 1 of 22 cells, msgpack", "B", "partition", n, packed)
+		frame, text = encoded(cell)
+		add("assignment of 1 of 22 cells, msgpack", "B", "partition", n, frame)
 		add("assignment of 1 of 22 cells, JSON", "B", "partition", n, text)
 		d := placement.Delta{Service: "design", From: a.Version, To: a.Version + 1}
 		for p := range n / 7 {
 			d.Changes = append(d.Changes, placement.Change{Partition: p * 7, Target: fmt.Sprintf("target-%04d", p%600)})
 		}
-		packed, text = encoded(d)
-		add("delta msgpack", "B", "change", n/7, packed)
+		frame, text = encoded(d)
+		add("delta msgpack", "B", "change", n/7, frame)
 		add("delta JSON", "B", "change", n/7, text)
 		add("policy memory", "B", "partition", n, retained(func() any {
 			w := placement.NewWeighted(placement.Settings{})
@@ -146,8 +154,8 @@
 		for p := range n {
 			report.Reports[0].Partitions = append(report.Reports[0].Partitions, ownership.PartitionLoad{Partition: 30000 + p, Load: 0.123456 * float64(p)})
 		}
-		packed, _ := encoded(report)
-		add("load report msgpack", "B", "partition", n, packed)
+		frame, _ := encoded(report)
+		add("load report msgpack", "B", "partition", n, frame)
 	}
 	for _, n := range []int{8, 16, 31, 40} {
 		c := ownership.Cell{Name: "cell-01", Planner: "instance-0001", Members: make([]ownership.Member, 8), Controllers: make([]ownership.Controller, n)}
@@ -164,8 +172,8 @@
 			key := fmt.Sprintf("customer-%08d", i)
 			h.Observe(key, xxhash.Sum64String(key), i, 1)
 		}
-		packed, _ := encoded(h.Top(n))
-		add("hot keys msgpack, 17-byte names", "B", "key", n, packed)
+		frame, _ := encoded(h.Top(n))
+		add("hot keys msgpack, 17-byte names", "B", "key", n, frame)
 	}
 	for _, m := range []any{
 		ownership.ServerRequest{Service: "design", Target: "target-0123", Term: 1234, Boot: "b81f2c3d4e5f6a7b", Answers: 5120e9, LeaseMS: 500, WaitMS: 200, Set: 12},
@@ -173,8 +181,8 @@
 		ownership.Heartbeat{Stamp: 5120e9, CellVersion: 7<<32 | 123},
 		ownership.HeartbeatAck{Stamp: 5120e9, CellVersion: 7<<32 | 123},
 	} {
-		packed, text := encoded(m)
-		fmt.Printf("%-37s msgpack %.0f B, JSON %.0f B\n", fmt.Sprintf("%T", m), packed, text)
+		frame, text := encoded(m)
+		fmt.Printf("%-37s msgpack %.0f B, JSON %.0f B\n", fmt.Sprintf("%T", m), frame, text)
 	}
 	for _, name := range order {
 		fmt.Println(series[name])
