Wait for a superseded controller that may not know it yet

Cause: a new controller that could not reach the server counted the lease from its own start, while the controller before it, if it was not told, went on renewing until it was out of contact. A controller with a stale term judged the lease too. Change: unless the controller before is known to be lost, the wait starts when a superseded instance is out of contact at the latest; with a stale term nothing is judged.

--- a/ownership/controller.go
+++ b/ownership/controller.go
@@ -112,9 +112,6 @@
 	h.grantor = lease.NewGrantor(c.cfg.Lease, free)
 	if h.leased && !h.checked {
 		h.startAt = free
-		if free >= c.now {
-			h.startAt = c.now + c.outOfContactBound()
-		}
 		h.quietAt = h.startAt + maxRequestTime(svc)
 	}
 	c.held[h.id] = h
@@ -124,20 +121,25 @@
 	c.record(false, "control.started", "target", h.id, "term", h.term)
 }
 
-// freeAt is a moment by which the previous controller was out of contact; now if
-// nothing is known about it, also because this instance missed a record.
+// freeAt is a moment by which the previous controller renews nothing any more.
+// If it is not known to be lost, or if this instance missed a record, that is
+// when a superseded instance is out of contact or knows of it at the latest.
 func (c *Core) freeAt(r Controller, old *Cell) lease.Instant {
+	latest := c.now + c.outOfContactBound()
 	if old == nil {
-		return c.now
+		return latest
 	}
 	prev, ok := old.Controller(r.Target)
-	if !ok || prev.Instance == c.cfg.Self.ID || prev.Term+1 != r.Term {
+	if !ok || prev.Term+1 != r.Term {
+		return latest
+	}
+	if prev.Instance == c.cfg.Self.ID {
 		return c.now
 	}
 	if lost, by := c.lost(prev.Instance); lost {
 		return min(by, c.now)
 	}
-	return c.now
+	return latest
 }
 
 // outOfContactBound is the time after which an instance that has been superseded
--- a/ownership/server.go
+++ b/ownership/server.go
@@ -30,10 +30,13 @@
 // to date. The set is always confirmed as a whole before a lease is extended, so
 // a server that comes back never acts on a set from before.
 func (c *Core) advanceServer(h *holding) {
+	if h.stale > 0 {
+		return // somebody else renews; nothing is known of the lease
+	}
 	if h.state != TargetLapsed && h.grantor.Lapsed(c.now) {
 		c.setState(h, TargetLapsed)
 	}
-	if h.stale > 0 || c.now < h.retryAt {
+	if c.now < h.retryAt {
 		return
 	}
 	if c.blind(h) {
@@ -188,7 +191,8 @@
 
 func (c *Core) callFailed(h *holding, e ServerReplied) {
 	if errors.Is(e.Err, ErrStaleTerm) {
-		h.stale = max(e.Reply.Term, h.term+1)
+		h.stale, h.granted = max(e.Reply.Term, h.term+1), map[int]uint64{}
+		c.setState(h, TargetUnknown)
 		h.reportAt = c.now
 		c.record(false, "term.stale", "target", h.id, "term", h.term)
 		return
