--- a/ownership/assignment.go
+++ b/ownership/assignment.go
@@ -22,7 +22,6 @@
 	// fromStore is the newest assignment read from the store.
 	fromStore *placement.Assignment
 	askAt     lease.Instant
-	lagSince  lease.Instant // since when others have a higher version; 0 if none has
 	// versions heard in acknowledgements, by member.
 	versions map[string]uint64
 }
@@ -77,13 +76,6 @@
 	return true
 }
 
-// validDelta reports whether the partitions of a delta exist.
-func validDelta(a *placement.Assignment, d placement.Delta) bool {
-	return !slices.ContainsFunc(d.Changes, func(ch placement.Change) bool {
-		return ch.Partition < 0 || ch.Partition >= len(a.Owner)
-	})
-}
-
 func (s *serviceState) heard(from string, version uint64) {
 	if version > s.versions[from] {
 		s.versions[from] = version
@@ -99,7 +91,7 @@
 		}
 		return
 	}
-	s.a, s.provisional, s.lagSince, c.viewDirty = a, provisional, 0, true
+	s.a, s.provisional, c.viewDirty = a, provisional, true
 	if s.proposal != nil && s.proposal.Version <= a.Version {
 		s.proposal = nil
 	}
@@ -122,7 +114,7 @@
 		}
 		return
 	}
-	if s.a != nil && validDelta(s.a, m.Delta) {
+	if s.a != nil {
 		if next, ok := s.a.Apply(m.Delta); ok {
 			c.adoptAssignment(next, m.Provisional)
 			return
--- a/ownership/cell.go
+++ b/ownership/cell.go
@@ -7,13 +7,13 @@
 	"github.com/boragegate/boragegate/membership"
 )
 
-// versionStep separates the versions of records of the planner from those of members
+// versionStep separates the cell versions of the planner from those of members
 // that act in its place: base + step is the planner's, base + step + 1 + order
 // is that of a member in order, so two writers never choose the same version.
 const versionStep = 256
 
-// nextVersion returns the version after v for a writer in the planner's term.
-func nextVersion(v, term, writer uint64) uint64 {
+// nextCellVersion returns the version after v for a writer in the planner's term.
+func nextCellVersion(v, term, writer uint64) uint64 {
 	if v>>32 < term {
 		v = term << 32
 	}
@@ -98,7 +98,7 @@
 		return
 	}
 	next := merge(ch.cell, c.cell)
-	next.Version = nextVersion(c.cell.Version, next.PlannerTerm, 0)
+	next.Version = nextCellVersion(c.cell.Version, next.PlannerTerm, 0)
 	c.plan.cellChange = &change{
 		slot: c.cellSlot, cell: next, base: c.cell.Version, version: next.Version,
 		expect: ch.expect, storeOnly: ch.storeOnly,
@@ -149,34 +149,20 @@
 	switch {
 	case m.Cell != nil:
 		c.onCellProposal(from, m)
-	case c.mayPropose(from):
-		c.onAssignmentProposal(from, m)
-	}
-}
-
-// mayPropose reports whether a member may change records now: the planner, or a
-// member that acts for it if this member reports the planner silent.
-func (c *Core) mayPropose(from string) bool {
-	return (from == c.cell.Planner) != c.silent(c.cell.Planner)
-}
-
-func (c *Core) onAssignmentProposal(from string, m Proposal) {
-	a := m.Assignment
-	if m.Delta != nil {
-		if s := c.services[m.Delta.Service]; s != nil && s.newest() != nil && validDelta(s.newest(), *m.Delta) {
-			a, _ = s.newest().Apply(*m.Delta)
+	case m.Assignment != nil && from == c.cell.Planner:
+		s := c.services[m.Assignment.Service]
+		if s == nil || m.Assignment.Version>>32 != c.cell.PlannerTerm {
+			return
+		}
+		if s.keep(m.Assignment) {
+			c.send(from, ProposalAck{Service: s.name, Version: m.Assignment.Version})
 		}
-	}
-	if a == nil || c.services[a.Service] == nil || a.Version>>32 != c.cell.PlannerTerm {
-		return
-	}
-	if c.services[a.Service].keep(a) {
-		c.send(from, ProposalAck{Service: a.Service, Version: a.Version})
 	}
 }
 
 func (c *Core) onCellProposal(from string, m Proposal) {
-	if !c.mayPropose(from) {
+	silent := c.silent(c.cell.Planner)
+	if from != c.cell.Planner && !silent || from == c.cell.Planner && silent {
 		return
 	}
 	switch high := c.highestCell(); {
--- a/ownership/change.go
+++ b/ownership/change.go
@@ -36,12 +36,8 @@
 // pending reports whether the change is not in force yet.
 func (ch *change) pending() bool { return ch != nil && !ch.inForce }
 
-// known reports whether a majority keeps the change.
-func (c *Core) known(ch *change) bool { return len(ch.acks) >= c.cell.Majority() }
-
 // advanceChange takes the next step of a change. blocked says that older
-// provisional changes have to be written first. An assignment is written when a
-// majority keeps it, so the store never has one that only a lost planner knew.
+// provisional changes have to be written first.
 func (c *Core) advanceChange(ch *change, blocked bool) {
 	if ch == nil || ch.done() {
 		return
@@ -51,29 +47,20 @@
 		c.putInForce(ch, false)
 		return
 	}
-	alone := c.overdue(s) || blocked || ch.proposeOnly
-	if !ch.inForce && !ch.storeOnly && (ch.a != nil || alone) && !c.known(ch) {
-		c.propose(ch)
-	}
-	if !ch.proposeOnly && !blocked && s.ready(c.now) && (ch.a == nil || ch.storeOnly || ch.inForce || c.known(ch)) {
-		c.store(ch)
-	}
-	if !ch.inForce && !ch.storeOnly && alone && c.known(ch) && c.inContact() {
-		c.putInForce(ch, true)
+	late := c.overdue(s)
+	if !ch.proposeOnly && !blocked && s.ready(c.now) {
+		switch {
+		case !s.read:
+			c.readObject(s)
+		case s.seen>>32 == ch.version>>32 || s.seen == ch.expect:
+			c.write(ch)
+		case s.seen > ch.version && c.cellSlot.ready(c.now):
+			s.retryAt = c.now + c.cfg.StoreRetry
+			c.readObject(c.cellSlot) // a newer planner has written
+		}
 	}
-}
-
-// store writes a change if the store has what it was derived from.
-func (c *Core) store(ch *change) {
-	s := ch.slot
-	switch {
-	case !s.read:
-		c.readObject(s)
-	case s.seen>>32 == ch.version>>32 || s.seen == ch.expect:
-		c.write(ch)
-	case s.seen > ch.version && c.cellSlot.ready(c.now):
-		s.retryAt = c.now + c.cfg.StoreRetry
-		c.readObject(c.cellSlot) // a newer planner has written
+	if !ch.inForce && !ch.storeOnly && (late || blocked || ch.proposeOnly) {
+		c.propose(ch)
 	}
 }
 
@@ -98,19 +85,13 @@
 			c.service(ch.a.Service).keep(ch.a)
 		}
 	}
-	m := Proposal{Base: ch.base, Cell: ch.cell}
-	switch {
-	case ch.a != nil && ch.proposeAt == 0:
-		m.Delta = &ch.delta
-	case ch.a != nil:
-		m.Assignment = ch.a
-	}
 	ch.proposeAt = c.now + c.cfg.HeartbeatInterval
-	for _, o := range c.cell.Members {
-		if !ch.acks[o.ID] {
-			c.send(o.ID, m)
+	for _, m := range c.cell.Members {
+		if !ch.acks[m.ID] {
+			c.send(m.ID, Proposal{Base: ch.base, Cell: ch.cell, Assignment: ch.a})
 		}
 	}
+	c.countAcks(ch)
 }
 
 func (c *Core) onProposalAck(from string, m ProposalAck) {
@@ -120,15 +101,16 @@
 		ch = c.plan.cellChange
 	case c.plan != nil && c.plan.services[m.Service] != nil:
 		ch = c.plan.services[m.Service].change
-	case m.Service != "":
-		ch = c.take.seals[m.Service]
-	}
-	if !ch.pending() || ch.acks == nil || ch.version != m.Version {
-		return
 	}
-	if _, ok := c.cell.Member(from); ok {
+	if ch.pending() && ch.acks != nil && ch.version == m.Version {
 		ch.acks[from] = true
-		c.advanceChange(ch, c.plan != nil && c.plan.blocked(ch))
+		c.countAcks(ch)
+	}
+}
+
+func (c *Core) countAcks(ch *change) {
+	if len(ch.acks) >= c.cell.Majority() && c.inContact() {
+		c.putInForce(ch, true)
 	}
 }
 
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -214,8 +214,6 @@
 	Base       uint64                `msgpack:"b"`
 	Cell       *Cell                 `msgpack:"c,omitempty"`
 	Assignment *placement.Assignment `msgpack:"a,omitempty"`
-	// Delta is sent instead of Assignment at first.
-	Delta *placement.Delta `msgpack:"d,omitempty"`
 }
 
 // ProposalAck acknowledges a Proposal. Service is empty for the cell record.
--- a/ownership/heartbeat.go
+++ b/ownership/heartbeat.go
@@ -137,19 +137,10 @@
 	c.contact.Acked(c.now, from, lease.Instant(m.Stamp), m.CellVersion, silences(m)) //nolint:gosec // checked against now by the tracker
 	for _, s := range c.order {
 		v := m.Assignments[s.name]
-		c.askForLag(s, from, v)
+		if v > s.version() && c.now >= s.askAt {
+			s.askAt = c.now + c.cfg.HeartbeatInterval
+			c.send(from, AssignmentRequest{Service: s.name})
+		}
 		s.heard(from, v)
 	}
 }
-
-// askForLag asks for an assignment that this member does not get by itself.
-func (c *Core) askForLag(s *serviceState, from string, version uint64) {
-	switch {
-	case version <= s.version():
-	case s.lagSince == 0:
-		s.lagSince = c.now
-	case c.now-s.lagSince >= c.cfg.HeartbeatInterval && c.now >= s.askAt:
-		s.askAt = c.now + c.cfg.HeartbeatInterval
-		c.send(from, AssignmentRequest{Service: s.name})
-	}
-}
--- a/ownership/join.go
+++ b/ownership/join.go
@@ -78,7 +78,7 @@
 	next := old.Clone()
 	next.Members, next.Planner = []Member{c.cfg.Self}, c.cfg.Self.ID
 	next.PlannerTerm++
-	next.Version = nextVersion(old.Version, next.PlannerTerm, 0)
+	next.Version = nextCellVersion(old.Version, next.PlannerTerm, 0)
 	c.writeObject(c.cellSlot, next.Version, next)
 	c.take.founding = next
 }
--- a/ownership/plan_cell.go
+++ b/ownership/plan_cell.go
@@ -36,7 +36,7 @@
 	if !changed && !members {
 		return
 	}
-	next.Version = nextVersion(c.cell.Version, next.PlannerTerm, 0)
+	next.Version = nextCellVersion(c.cell.Version, next.PlannerTerm, 0)
 	p.cellChange = &change{
 		slot: c.cellSlot, cell: next, base: c.cell.Version, version: next.Version,
 		expect: c.cellSlot.seen, storeOnly: members,
@@ -118,7 +118,7 @@
 	}
 	sp := c.plan.services[s.name]
 	if sp == nil || !sp.fenced {
-		return nextVersion(0, c.plan.term, 0)
+		return c.plan.term<<32 | 1
 	}
 	if sp.change != nil {
 		return max(sp.change.version, s.version())
--- a/ownership/plan_partitions.go
+++ b/ownership/plan_partitions.go
@@ -13,9 +13,6 @@
 
 // advanceService recovers, fences and plans one service.
 func (c *Core) advanceService(sp *servicePlan, due bool) {
-	if sp.fenced && sp.change.pending() && sp.s.highest() > sp.change.version {
-		sp.change = nil // a member acted for this planner; no majority keeps the change
-	}
 	if sp.change.pending() || sp.change != nil && !sp.change.done() {
 		c.advanceChange(sp.change, c.plan.blocked(sp.change))
 	}
@@ -30,9 +27,6 @@
 		c.recover(sp)
 		return
 	}
-	if c.catchUp(sp) {
-		return
-	}
 	c.sendOrders(sp)
 	if due || sp.due <= c.now {
 		sp.due = c.now + c.cfg.PlanInterval
@@ -40,35 +34,6 @@
 	}
 }
 
-// catchUp adopts what a member decided for this planner: it asks for a version
-// that a majority may keep, puts it into force, and writes it.
-func (c *Core) catchUp(sp *servicePlan) bool {
-	s := sp.s
-	if v, from := c.heardHighest(s); v > s.highest() && c.now >= sp.askAt {
-		sp.askAt = c.now + c.cfg.HeartbeatInterval
-		c.send(from, AssignmentRequest{Service: s.name, Recover: c.plan.term, Have: s.highest()})
-	}
-	switch {
-	case s.highest() > s.version():
-		c.startChange(sp, s.proposal, nil)
-		return true
-	case s.version() > s.slot.stored && (sp.change == nil || sp.change.done()):
-		sp.change = &change{slot: s.slot, a: s.a, version: s.a.Version, inForce: true, provisional: true}
-	}
-	return false
-}
-
-// heardHighest returns the highest version that a member which is not lost has
-// acknowledged, and the member.
-func (c *Core) heardHighest(s *serviceState) (version uint64, from string) {
-	for _, m := range c.cell.Members {
-		if lost, _ := c.lost(m.ID); !lost && s.versions[m.ID] > version {
-			version, from = s.versions[m.ID], m.ID
-		}
-	}
-	return version, from
-}
-
 // recover asks a majority for the highest assignment that they keep and reads
 // the store, then writes the highest as the first version of this term.
 func (c *Core) recover(sp *servicePlan) {
@@ -119,9 +84,6 @@
 }
 
 func (c *Core) onAssignmentState(from string, m AssignmentState) {
-	if s := c.services[m.Service]; c.member() && s != nil && m.Highest != nil && m.Term == c.cell.PlannerTerm {
-		s.keep(m.Highest)
-	}
 	if c.plan == nil || m.Term != c.plan.term || c.plan.services[m.Service] == nil {
 		return
 	}
@@ -140,7 +102,10 @@
 // startChange brings the next version of the assignment on its way. The first one
 // of a term is the fence: it counts only when the store has it.
 func (c *Core) startChange(sp *servicePlan, base *placement.Assignment, changes []placement.Change) {
-	version := nextVersion(base.Version, c.plan.term, 0)
+	version := base.Version + 1
+	if version>>32 < c.plan.term {
+		version = c.plan.term<<32 | 1
+	}
 	next := base.With(version, changes)
 	sp.change = &change{
 		slot: sp.s.slot, a: next, base: base.Version, version: version,
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -1,11 +1,9 @@
 package ownership
 
 import (
-	"slices"
 	"time"
 
 	"github.com/boragegate/boragegate/lease"
-	"github.com/boragegate/boragegate/placement"
 )
 
 // takeoverStagger separates the attempts of members to replace a lost planner.
@@ -20,8 +18,6 @@
 	base uint64
 	// change moves the planner's targets while the store is down.
 	change *change
-	// seals are the versions that void what the planner may have on its way, by service.
-	seals map[string]*change
 	// founding is the record with which this instance founds a cell.
 	founding *Cell
 }
@@ -70,7 +66,7 @@
 			next = merge(c.storeCell, c.cell)
 		}
 		next.Planner, next.PlannerTerm = c.cfg.Self.ID, c.cell.PlannerTerm+1
-		next.Version = nextVersion(c.cell.Version, next.PlannerTerm, 0)
+		next.Version = nextCellVersion(c.cell.Version, next.PlannerTerm, 0)
 		c.take.next = next
 	}
 	c.cellSlot.read = false // read before the next attempt
@@ -96,6 +92,11 @@
 	}
 }
 
+func (c *Core) leased(target string) bool {
+	svc, ok := c.tableService(serviceOf(target))
+	return !ok || svc.Leased()
+}
+
 // rank is the number of living members before this one in the record's order.
 func (c *Core) rank() int {
 	n := 0
@@ -111,31 +112,28 @@
 }
 
 // actForPlanner takes over the targets of a lost planner while the store is
-// down. First it seals the assignments: a majority keeps a version above any that
-// the planner may have on its way, so that what the planner decided and nobody
-// knows is void.
+// down, if they own no partitions. Others wait for the store, which may have a
+// last assignment of the planner that nobody else knows.
 func (c *Core) actForPlanner() {
-	index := uint64(slices.IndexFunc(c.cell.Members, func(m Member) bool { return m.ID == c.cfg.Self.ID })) //nolint:gosec // a member
-	next, sealed := c.cell.Clone(), true
-	for i := range next.Controllers {
-		r := &next.Controllers[i]
-		if r.Instance != c.cell.Planner {
-			continue
+	if c.take.change == nil || c.take.change.base != c.cell.Version {
+		next := c.cell.Clone()
+		index := uint64(0)
+		for i, m := range c.cell.Members {
+			if m.ID == c.cfg.Self.ID {
+				index = uint64(i) //nolint:gosec // a small index
+			}
 		}
-		r.Instance, r.Term, r.MinVersion = c.cfg.Self.ID, r.Term+2+index, 0
-		if s := c.services[serviceOf(r.Target)]; s != nil {
-			ok := c.seal(s, index+1)
-			r.MinVersion, sealed = s.version(), sealed && ok
+		changed := false
+		for i := range next.Controllers {
+			if r := &next.Controllers[i]; r.Instance == c.cell.Planner && !c.leased(r.Target) {
+				r.Instance, r.Term, r.MinVersion = c.cfg.Self.ID, r.Term+2+index, 0
+				changed = true
+			}
 		}
-	}
-	if !sealed {
-		return
-	}
-	if c.take.change == nil || c.take.change.base != c.cell.Version {
-		if slices.Equal(next.Controllers, c.cell.Controllers) {
+		if !changed {
 			return
 		}
-		next.Version = nextVersion(c.cell.Version, c.cell.PlannerTerm, index+1)
+		next.Version = nextCellVersion(c.cell.Version, c.cell.PlannerTerm, index+1)
 		c.take.change = &change{
 			slot: c.cellSlot, cell: next, base: c.cell.Version, version: next.Version, proposeOnly: true,
 		}
@@ -143,33 +141,3 @@
 	}
 	c.advanceChange(c.take.change, false)
 }
-
-// seal brings a version of this member into force that repeats the highest one
-// that a majority may keep. It reports whether that is done.
-func (c *Core) seal(s *serviceState, writer uint64) bool {
-	if v, from := c.heardHighest(s); v > s.highest() {
-		if c.now >= s.askAt {
-			s.askAt = c.now + c.cfg.TickInterval
-			c.send(from, AssignmentRequest{Service: s.name, Recover: c.cell.PlannerTerm, Have: s.highest()})
-		}
-		return false
-	}
-	base := s.newest()
-	if base == nil {
-		return true
-	}
-	ch := c.take.seals[s.name]
-	if ch == nil || ch.version < base.Version {
-		version := nextVersion(base.Version, c.cell.PlannerTerm, writer)
-		ch = &change{
-			slot: s.slot, a: base.With(version, nil), base: base.Version, version: version, proposeOnly: true,
-			delta: placement.Delta{Service: s.name, From: base.Version, To: version},
-		}
-		if c.take.seals == nil {
-			c.take.seals = map[string]*change{}
-		}
-		c.take.seals[s.name] = ch
-	}
-	c.advanceChange(ch, false)
-	return ch.inForce
-}
