Count room for heavy partitions correctly and align thresholds

The search for room counted a partition that is passed on a second time as relief, so it chose targets that had to give up more. Room is now made up to Enter, which is 2.5% for both preferences, so that what is left is not moved later.

--- a/placement/makeroom.go
+++ b/placement/makeroom.go
@@ -16,7 +16,7 @@
 	best, fewest, heavy := -1, 0, pass{p: -1}
 	for _, v := range pl.similar(fill, cost) {
 		load := pl.beyond(v, cost)
-		if k := pl.givesUp(v, load, pl.rooms(v, v)); k > 0 && (best < 0 || k < fewest) {
+		if k := pl.givesUp(v, load, pl.rooms(v, v), -1); k > 0 && (best < 0 || k < fewest) {
 			best, fewest, heavy.p = v, k, -1
 		}
 		for _, h := range pl.list(v) {
@@ -27,7 +27,7 @@
 			if c >= load || pl.passed(h) {
 				continue
 			}
-			if w, k := pl.passOn(v, load-c, c); k > 0 && (best < 0 || k < fewest) {
+			if w, k := pl.passOn(v, load-c, h); k > 0 && (best < 0 || k < fewest) {
 				best, fewest, heavy = v, k, pass{h, int32(w)} //nolint:gosec // fewer than 65536 targets
 			}
 		}
@@ -55,20 +55,20 @@
 
 // passOn returns the node that takes a heavy partition of v with the fewest
 // moves, and their number with those that relieve v of the rest of its load.
-func (pl *placer) passOn(v int, rest, heavy float64) (best, fewest int) {
+func (pl *placer) passOn(v int, rest float64, heavy int32) (best, fewest int) {
 	best = -1
 	for _, w := range pl.similar(maxFill, 0) {
 		if w == v {
 			continue
 		}
 		rooms := pl.rooms(v, w)
-		k := pl.givesUp(v, rest, rooms)
+		k := pl.givesUp(v, rest, rooms, heavy)
 		if k == 0 {
 			continue
 		}
 		l := 0
-		if more := pl.beyond(w, heavy); more > 0 {
-			if l = pl.givesUp(w, more, rooms); l == 0 {
+		if more := pl.beyond(w, pl.b.cost[heavy]); more > 0 {
+			if l = pl.givesUp(w, more, rooms, -1); l == 0 {
 				continue
 			}
 		}
@@ -103,12 +103,12 @@
 }
 
 // givesUp is the number of partitions of node i that carry the load and fit in
-// the rooms, which they use up; 0 if there are none.
-func (pl *placer) givesUp(i int, load float64, rooms *ranking) int {
+// the rooms, which they use up; 0 if there are none. One partition is left out.
+func (pl *placer) givesUp(i int, load float64, rooms *ranking, without int32) int {
 	count := 0
 	for _, p := range pl.list(i) {
 		c, v := pl.b.cost[p], rooms.top()
-		if v < 0 || c > -rooms.keys[v] {
+		if p == without || v < 0 || c > -rooms.keys[v] {
 			continue
 		}
 		rooms.set(v, rooms.keys[v]+c)
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -16,7 +16,7 @@
 	// the 3 s after which a leaving target gets no new work.
 	LeavingBudget float64
 	// Enter is the part by which a target's load must exceed its share before
-	// load is moved away. Defaults 0.02 and 0.025; the bound on imbalance is 0.05.
+	// load is moved away. Defaults 0.025 for both; the bound on imbalance is 0.05.
 	Enter, StableEnter float64
 	// Confirm is the time for which the excess must last. Defaults 10 s and 60 s.
 	Confirm, StableConfirm time.Duration
@@ -45,7 +45,7 @@
 	defaultTo(&s.Budget, 0.04)
 	defaultTo(&s.StableBudget, 0.02)
 	defaultTo(&s.LeavingBudget, 0.1)
-	defaultTo(&s.Enter, 0.02)
+	defaultTo(&s.Enter, 0.025)
 	defaultTo(&s.StableEnter, 0.025)
 	defaultTo(&s.Confirm, 10*time.Second)
 	defaultTo(&s.StableConfirm, 60*time.Second)
--- a/placement/weighted.go
+++ b/placement/weighted.go
@@ -39,9 +39,6 @@
 const startedTimeout = 30 * time.Second
 
 const (
-	// leastRoomTolerance is the least tolerance of makeRoom. At 0.02 a leaving
-	// target with a heavy partition moved up to 7 partitions more than at 0.025.
-	leastRoomTolerance = 0.025
 	// readyRounds is the number of load reports that a plan by load needs.
 	readyRounds = 3
 	// settledRounds is the number of load reports, 5 minutes at the usual
@@ -304,7 +301,7 @@
 // moves are charged to the budget.
 func (r *round) placeAll(pl *placer, ps []int32, charge *budget, note func(p int, from, to int32)) {
 	r.b.byCost(ps)
-	pl.overfill = r.roomTolerance()
+	pl.overfill = r.th.enter
 	i := 0
 	if r.loads.known {
 		for ; i < len(ps) && r.b.cost[ps[i]] > pl.large; i++ {
@@ -330,18 +327,14 @@
 	}
 	var donors []int
 	for i := range r.b.nodes {
-		if n := &r.b.nodes[i]; pl.ranks.pos[i] >= 0 && n.load > (1+r.roomTolerance())*n.share {
+		if n := &r.b.nodes[i]; pl.ranks.pos[i] >= 0 && n.load > (1+r.th.enter)*n.share {
 			donors = append(donors, i)
 		}
 	}
 	if len(donors) > 0 {
-		rb := newRebalancer(r.b, r.roomTolerance(), false, donors, r.receivers(false))
-		rb.overfill = r.roomTolerance()
+		rb := newRebalancer(r.b, r.th.enter, false, donors, r.receivers(false))
+		rb.overfill = r.th.enter
 		r.drain(rb, charge, func(int32) string { return ReasonHotKey })
 		pl.refresh()
 	}
 }
-
-// roomTolerance is the part of a share by which targets may exceed it when room
-// is made for heavy partitions. It stays below what relieve reacts to.
-func (r *round) roomTolerance() float64 { return max(r.th.enter, leastRoomTolerance) }
