--- a/ownership/server.go
+++ b/ownership/server.go
@@ -30,18 +30,17 @@
 // to date. The set is always confirmed as a whole before a lease is extended, so
 // a server that comes back never acts on a set from before.
 func (c *Core) advanceServer(h *holding) {
+	if h.stale > 0 {
+		return // somebody else renews; nothing is known of the lease
+	}
 	if h.state != TargetLapsed && h.grantor.Lapsed(c.now) {
 		c.setState(h, TargetLapsed)
 	}
-	if h.stale > 0 || c.now < h.retryAt {
+	if c.now < h.retryAt {
 		return
 	}
 	if c.blind(h) {
-		// What the server holds is not known, so a lapsed lease must not revive it.
-		if h.renew == 0 && h.state != TargetLapsed {
-			c.sendRenewal(h)
-		}
-		return
+		return // the server may hold what others own; its lease must not be extended
 	}
 	c.stopPromised(h)
 	if h.change.id == 0 && (!h.synced || h.compare) {
@@ -63,7 +62,7 @@
 // not know yet what the planner decided.
 func (c *Core) blind(h *holding) bool {
 	s := c.services[h.service]
-	return h.keepSet || s == nil || s.version() < h.minVersion
+	return s == nil || s.version() < h.minVersion
 }
 
 func (c *Core) request(h *holding) ServerRequest {
@@ -184,7 +183,6 @@
 	h.notBefore = h.grantor.Until()
 	h.grantor.Reset()
 	h.synced, h.granted, c.viewDirty = false, map[int]uint64{}, true
-	h.fresh = true
 	if h.release.id != 0 {
 		c.releaseReplied(h, ServerReplied{Err: errRestarted}) // asks the new process
 	}
@@ -193,7 +191,8 @@
 
 func (c *Core) callFailed(h *holding, e ServerReplied) {
 	if errors.Is(e.Err, ErrStaleTerm) {
-		h.stale = max(e.Reply.Term, h.term+1)
+		h.stale, h.granted = max(e.Reply.Term, h.term+1), map[int]uint64{}
+		c.setState(h, TargetUnknown)
 		h.reportAt = c.now
 		c.record(false, "term.stale", "target", h.id, "term", h.term)
 		return
