Prove promises on whole systems in one process

Tests in internal/daemon start cells of 3 to 8 instances with sample servers on loopback and check the history of callers and servers against P1 to P8 under load: losses of server, instance, planner and zone, rolling replacement, drain, frozen servers, store outage, lost replies, racing operators, cut-off instances, restarts, orders across the loss of a controller, and services whose servers do not check grants. Options.edges lets the tests cut an instance off.

Two faults that they found are fixed. A restarted instance whose store reads from a lagging replica served the older table; the first confirmation now needs answers of a majority of the cell.

--- a/examples/backend/server/application.go
+++ b/examples/backend/server/application.go
@@ -67,7 +67,7 @@
 // enter admits a request: it checks the grant, waits for a slot, and returns a
 // function that gives the slot back, or the status to refuse with.
 func (s *Server) enter(r *http.Request) (func(), int) {
-	partition, keyed := partitionOf(r)
+	partition, keyed := s.grantOf(r)
 	s.mu.Lock()
 	if keyed && !s.grants.holds(s.now(), partition, epochOf(r)) {
 		s.mu.Unlock()
@@ -115,7 +115,7 @@
 // commit checks the lease again and applies the effect. A request that began
 // before its partition was released still counts: the release waits for it.
 func (s *Server) commit(r *http.Request) (uint64, bool) {
-	partition, keyed := partitionOf(r)
+	partition, keyed := s.grantOf(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if keyed && (!s.grants.holder.Valid(s.now()) || s.grants.seen[partition] != epochOf(r)) {
@@ -154,6 +154,13 @@
 	w.WriteHeader(status)
 }
 
+// grantOf returns the partition that the server must hold to run the request,
+// and whether it must hold one.
+func (s *Server) grantOf(r *http.Request) (int, bool) {
+	partition, keyed := partitionOf(r)
+	return partition, keyed && !s.cfg.IgnoreGrants
+}
+
 func partitionOf(r *http.Request) (int, bool) {
 	p, err := strconv.Atoi(r.Header.Get(headerPartition))
 	return p, err == nil
--- a/examples/backend/server/server.go
+++ b/examples/backend/server/server.go
@@ -27,6 +27,9 @@
 	QueueLimit int
 	// WorkTime is the time that a request takes. Default 1 ms.
 	WorkTime time.Duration
+	// IgnoreGrants runs every request, as a server of a service with
+	// checks_grants false does.
+	IgnoreGrants bool
 	// Observe, if set, is called for every request that took effect.
 	Observe func(Effect)
 }
@@ -134,3 +137,10 @@
 	defer s.mu.Unlock()
 	return len(s.keys)
 }
+
+// Running returns the number of requests that have a slot.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,6 +80,24 @@
 	Operators map[[sha256.Size]byte]string
 	// KnownZones are the zones that the table may name; nil accepts every zone.
 	KnownZones []string
+
+	edges edges
+}
+
+// edges wrap what an instance uses to reach others, so that tests can cut it
+// off. Nil functions wrap nothing.
+type edges struct {
+	peers   func(control.Peers) control.Peers
+	servers func(control.Servers) control.Servers
+	forward func(http.RoundTripper) http.RoundTripper
+}
+
+// wrap returns v, wrapped if there is a function for it.
+func wrap[T any](f func(T) T, v T) T {
+	if f == nil {
+		return v
+	}
+	return f(v)
 }
 
 // Timeouts bound waits of an instance.
@@ -185,19 +203,20 @@
 	}
 	cfg.Self = i.self()
 	cfg.NewPolicy = func(string) placement.Policy { return i.opts.Policy.NewPolicy() }
+	peers := wrap[control.Peers](i.opts.edges.peers, i.peers)
 	i.runner = control.New(control.Config{
-		Core: cfg, Store: i.opts.Store, Servers: i.servers, Peers: i.peers,
+		Core: cfg, Store: i.opts.Store, Servers: wrap[control.Servers](i.opts.edges.servers, i.servers), Peers: peers,
 		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
 		StoreTimeout: i.opts.Timeouts.Store,
 	})
 	i.gateway = gateway.New(gateway.Config{
 		Self: i.opts.ID, Zone: i.opts.Zone, Routes: &i.routes, Authority: i.runner,
-		ForwardTransport: i.forwardTransport(), ForwardScheme: i.forwardScheme(),
+		ForwardTransport: wrap(i.opts.edges.forward, i.forwardTransport()), ForwardScheme: i.forwardScheme(),
 		Logger: i.logger, Metrics: i.metrics,
 		Idempotency: idempotency.Config{Skew: i.opts.Timeouts.ClockSkew, Retention: i.opts.Timeouts.IdempotencyRetention},
 	})
 	i.follower = tablesync.New(tablesync.Config{
-		Self: i.opts.ID, Store: i.opts.Store, Peers: i.peers, Members: i.members,
+		Self: i.opts.ID, Store: i.opts.Store, Peers: peers, Members: i.members,
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
 		ReadTimeout: i.opts.Timeouts.Store,
 	})
--- /dev/null
+++ b/internal/daemon/loss_test.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against take-overs that exceed the bound: a controller that waits for
+// time-outs of lost servers, a planner that waits for the store's retry, a lost
+// planner or controller that nobody replaces.
+var _ = DescribeTable("serves every key again within the bound after the loss of", func(what func(*system) loss) {
+	s := start(shape{instances: 8, zones: 4, targets: map[string]int{"route": 8, "order": 4}})
+	l := what(s)
+	stopLoad := s.load()
+	keys := s.keysOf("route", s.affected("route", l), 2)
+	var entries []string
+	for _, n := range s.live() {
+		if len(l.instances) == 0 || n.id != l.instances[0] && n.zone != s.node(l.instances[0]).zone {
+			entries = append(entries, n.CallerAddress())
+		}
+	}
+	stopProbe := s.probe("route", keys, entries)
+	time.Sleep(300 * time.Millisecond)
+	at := s.inflict(l)
+	time.Sleep(2 * unavailableLimit)
+	for key, d := range unavailable(at, stopProbe()) {
+		Expect(d).To(And(BeNumerically(">=", 0), BeNumerically("<=", unavailableLimit)), key)
+	}
+	s.verify(stopLoad())
+},
+	Entry("a server", func(*system) loss { return loss{targets: []string{"route/r2"}} }),
+	Entry("an instance", func(s *system) loss { return loss{instances: []string{s.controllerOf("route/r2")}} }),
+	Entry("the planner", func(s *system) loss { return loss{instances: []string{s.planner()}} }),
+	Entry("a zone", func(s *system) loss { return s.inZone(zone(1)) }),
+	Entry("the zone of the planner", func(s *system) loss { return s.inZone(s.node(s.planner()).zone) }),
+)
--- /dev/null
+++ b/internal/daemon/once_test.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragegate/boragegate/internal/promise"
+	"github.com/boragegate/boragegate/placement"
+)
+
+// Guards against a second run of an order whose first run is not known any more
+// because the instance with the record is lost (P5). The server is frozen
+// between the work and its effect while the instance is killed, so that the
+// first run takes effect without an answer.
+var _ = It("an order runs at most once across the loss of its controller and a retry elsewhere", func() {
+	s := start(shape{instances: 4, zones: 4, targets: map[string]int{"order": 2}, workTime: 50 * time.Millisecond})
+	target := s.servers["order/o1"]
+	controller := s.controllerOf("order/o1")
+	var entries []string
+	for _, n := range s.live() {
+		if n.id != controller {
+			entries = append(entries, n.CallerAddress())
+		}
+	}
+	var keys []string
+	for i := 0; len(keys) < 5; i++ {
+		key := fmt.Sprintf("k%d", i)
+		if s.assignment("order").OwnerOf(placement.PartitionOf("order", key, s.shape.partitions)) == "o1" {
+			keys = append(keys, key)
+		}
+	}
+	c := promise.NewClients(nil)
+	post := func(entry, key, id string) promise.Result {
+		return c.Send(context.Background(), entry, promise.Result{Service: "order", Key: key, Method: http.MethodPost, ID: id})
+	}
+	time.Sleep(2 * time.Second) // the tenures are older than the allowed clock skew
+	first := make([]promise.Result, len(keys))
+	var wg sync.WaitGroup
+	for i, key := range keys {
+		wg.Go(func() { first[i] = post(entries[0], key, "") })
+	}
+	Eventually(target.Running, "2s", "1ms").Should(Equal(len(keys)))
+	target.Freeze(200 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond) // the work ends in the freeze
+	s.inflict(loss{instances: []string{controller}})
+	wg.Wait()
+	results := first
+	for range 4 {
+		for i, key := range keys {
+			r := post(entries[1+i%2], key, first[i].ID)
+			Expect(r.Outcome).NotTo(Equal(promise.OutcomeRun), "the record is lost, so this attempt must not run")
+			results = append(results, r)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	Expect(s.effects.Snapshot()).To(HaveLen(len(keys)), "the first runs were meant to take effect")
+	s.verify(results)
+	Eventually(func() string { return post(entries[1], keys[0], "").Outcome }, "5s", "50ms").Should(Equal(promise.OutcomeRun))
+})
+
+// Guards against two instances that both forward to servers that cannot refuse:
+// the instance must stop as soon as it is out of contact, before another starts.
+var _ = It("services whose servers do not check grants keep one owner", func() {
+	s := start(shape{instances: 4, zones: 4, targets: map[string]int{"route": 4, "order": 4}, unchecked: true})
+	stopLoad := s.load()
+	time.Sleep(300 * time.Millisecond)
+	isolated := s.node(s.controllerOf("route/r1"))
+	var entries []string
+	for _, n := range s.live() {
+		if n != isolated {
+			entries = append(entries, n.CallerAddress())
+		}
+	}
+	stopProbe := s.probe("route", s.keysOf("route", []string{"r1"}, 2), entries)
+	at := time.Now()
+	s.network.isolate(isolated.id, true)
+	time.Sleep(2 * unavailableLimit)
+	for key, d := range unavailable(at, stopProbe()) {
+		Expect(d).To(And(BeNumerically(">=", 0), BeNumerically("<=", unavailableLimit)), key)
+	}
+	s.network.isolate(isolated.id, false)
+	s.awaitSettled()
+	s.servers["route/r2"].Kill()
+	Eventually(func() []int { return s.assignment("route").PartitionsOf("r2") }, "10s", "20ms").Should(BeEmpty())
+	time.Sleep(500 * time.Millisecond)
+	s.verify(stopLoad())
+})
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,9 +5,15 @@
 	"net/http"
 	"time"
 
+	"github.com/boragegate/boragegate/internal/gateway"
 	"github.com/boragegate/boragegate/platform"
 )
 
+// recordsLinger is the time for which a stopping instance still answers other
+// instances after the hand-over. The next controllers take the idempotency
+// records in that time; without them they would refuse fresh keys as unknown.
+const recordsLinger = gateway.DefaultTakeOverWait
+
 // Stop ends the instance without cutting off a request in flight: the readiness
 // check fails first, the balancer gets time to notice, everything that this
 // instance controls is handed over, and the requests in flight finish. When ctx
@@ -22,6 +28,9 @@
 	if r, ok := i.opts.Store.(platform.Registrar); ok {
 		_ = r.Deregister(ctx, i.opts.ID)
 	}
+	if handOver == nil {
+		pause(ctx, recordsLinger)
+	}
 	i.shutdownServers(ctx)
 	err := i.gateway.Shutdown(ctx)
 	if err != nil {
--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragegate/boragegate/internal/promise"
+)
+
+var _ = Describe("a planned stop", func() {
+	// Guards against a stop that closes connections with requests in flight, or
+	// before the balancer and the other instances have noticed (P7).
+	It("of every instance in turn, replaced by one with another ID, cuts off no request", func() {
+		s := start(shape{instances: 4, zones: 4, targets: map[string]int{"route": 4, "order": 4}, workTime: 20 * time.Millisecond})
+		stopLoad := s.load()
+		for i := range 4 {
+			s.add(fmt.Sprintf("new%d", i+1), zone(i))
+			Eventually(s.ready, startTimeout, "20ms").Should(HaveLen(5))
+			Expect(s.stopInstance(fmt.Sprintf("i%d", i+1))).To(Succeed())
+		}
+		s.awaitSettled()
+		results := stopLoad()
+		Expect(promise.CheckUncut(results)).To(BeEmpty())
+		s.verify(results)
+	})
+
+	// Guards against new work at a drained server after drain_after (P6), and
+	// against a drain that cuts off what runs (P7).
+	It("of a drained server cuts off no request, and the server gets no new work in time", func() {
+		s := start(shape{instances: 3, zones: 3, targets: map[string]int{"route": 4, "order": 3}, workTime: 20 * time.Millisecond})
+		stopLoad := s.load()
+		time.Sleep(200 * time.Millisecond)
+		begin := time.Now()
+		_, err := s.apply(s.live()[0], drain("route/r2"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Until(begin.Add(drainAfter)))
+		deadline := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		Expect(promise.CheckDrained("route", "r2", deadline, s.effects.Snapshot())).To(BeEmpty())
+		Expect(s.assignment("route").PartitionsOf("r2")).To(BeEmpty())
+		Expect(s.servers["route/r2"].Stop(context.Background())).To(Succeed())
+		time.Sleep(500 * time.Millisecond)
+		results := stopLoad()
+		Expect(promise.CheckUncut(results)).To(BeEmpty())
+		s.verify(results)
+	})
+})
+
+// Guards against a server that runs requests of its old epoch after a pause
+// longer than its lease, when another server owns the keys (P1).
+var _ = It("a server that was frozen beyond its lease never runs as an old owner", func() {
+	s := start(shape{instances: 3, zones: 3, targets: map[string]int{"route": 4, "order": 3}, workTime: 10 * time.Millisecond})
+	stopLoad := s.load()
+	for _, name := range []string{"r2", "r3", "r1"} {
+		time.Sleep(300 * time.Millisecond)
+		owned := func() []int { return s.assignment("route").PartitionsOf(name) }
+		Expect(owned()).NotTo(BeEmpty())
+		srv := s.servers["route/"+name]
+		srv.Freeze(0)
+		Eventually(owned, "5s", "5ms").Should(BeEmpty())
+		time.Sleep(500 * time.Millisecond) // new owners run requests
+		srv.Thaw()
+		time.Sleep(500 * time.Millisecond)
+	}
+	s.verify(stopLoad())
+})
--- /dev/null
+++ b/internal/daemon/storefault_test.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragegate/boragegate/internal/promise"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/table/tablestore"
+)
+
+// outage is the length of a store outage, longer than every time limit of calls
+// and of the confirmation of the table.
+const outage = 10 * time.Second
+
+// stored returns the assignment of a service as the store has it.
+func (s *system) stored(service string) *placement.Assignment {
+	obj, err := s.store.Get(context.Background(), "assignment", testCell+"."+service)
+	Expect(err).NotTo(HaveOccurred())
+	a := &placement.Assignment{}
+	Expect(json.Unmarshal(obj.Value, a)).To(Succeed())
+	return a
+}
+
+var _ = Describe("while the store fails", func() {
+	// Guards against ownership that ends with the store, a loss that nobody
+	// handles without it, and provisional changes that are undone when it returns.
+	It("ownership goes on, a server's loss is survived, and nothing is reverted", func() {
+		s := start(shape{instances: 4, zones: 4, targets: map[string]int{"route": 8, "order": 4}})
+		before := s.stored("route")
+		stopLoad := s.load()
+		s.store.SetFaults(memory.Faults{Down: true})
+		began := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		survivors := s.keysOf("route", []string{"r1", "r3", "r5"}, 1)
+		lost := s.keysOf("route", []string{"r2"}, 2)
+		stopProbe := s.probe("route", append(lost, survivors...), s.ready())
+		time.Sleep(300 * time.Millisecond)
+		at := s.inflict(loss{targets: []string{"route/r2"}})
+		time.Sleep(time.Until(began.Add(outage)))
+		Expect(s.ready()).To(HaveLen(4), "instances in contact stopped serving")
+		probed := stopProbe()
+		for key, d := range unavailable(at, probed) {
+			Expect(d).To(And(BeNumerically(">=", 0), BeNumerically("<=", unavailableLimit)), key)
+		}
+		for _, r := range probed {
+			if r.Key == survivors[0] || r.Key == survivors[1] || r.Key == survivors[2] {
+				Expect(r.Outcome).To(Equal(promise.OutcomeRun), "a key that no loss affected")
+			}
+		}
+		during := s.assignment("route")
+		Expect(during.Version).To(BeNumerically(">", before.Version))
+		s.store.SetFaults(memory.Faults{})
+		Eventually(func() uint64 { return s.stored("route").Version }, "5s", "10ms").Should(BeNumerically(">=", during.Version))
+		after := s.stored("route")
+		for p := range after.Epoch {
+			Expect(after.Epoch[p]).To(BeNumerically(">=", during.Epoch[p]), "partition %d went back to an older epoch", p)
+		}
+		Expect(after.PartitionsOf("r2")).To(BeEmpty())
+		s.verify(stopLoad())
+	})
+
+	// Guards against a change that is written twice, reported as failed although
+	// it is in force, or reported as accepted and then replaced (P8).
+	It("a table change with lost replies is accepted once", func() {
+		s := start(shape{instances: 3, zones: 3, targets: map[string]int{"route": 3}})
+		stopLoad := s.load()
+		for i := range 3 {
+			base := s.table.Version
+			s.store.SetFaults(memory.Faults{LoseReplies: true})
+			version, err := s.apply(s.live()[i], setWeight("route/r1", float64(2+i)))
+			s.store.SetFaults(memory.Faults{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(version).To(Equal(base + 1))
+			rec, err := s.live()[0].Tables().Get(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rec.Version).To(Equal(version))
+			Expect(rowOf(rec.Table, "route/r1").Weight).To(Equal(float64(2 + i)))
+			s.awaitInForce(version)
+		}
+		s.verify(stopLoad())
+	})
+
+	// Guards against two changes from the same base that are both accepted, of
+	// which one would be lost silently, and against two conflicts (P8).
+	It("of two operators that race, one gets a conflict", func() {
+		s := start(shape{instances: 3, zones: 3, targets: map[string]int{"route": 3}})
+		for round := range 10 {
+			errs := make([]error, 2)
+			weights := make([]float64, 2)
+			base := s.table.Version
+			var wg sync.WaitGroup
+			for i := range errs {
+				wg.Go(func() {
+					t := *s.table
+					t.Rows = append(t.Rows[:0:0], s.table.Rows...)
+					weights[i] = float64(10 + 2*round + i)
+					setWeight("route/r1", weights[i])(&t)
+					_, errs[i] = s.live()[i].Tables().Apply(context.Background(), tablestore.Request{Table: &t, Base: base, Operator: "test"})
+				})
+			}
+			wg.Wait()
+			winner := 0
+			if errs[0] != nil {
+				winner = 1
+			}
+			Expect(errs[winner]).NotTo(HaveOccurred())
+			Expect(errors.Is(errs[1-winner], platform.ErrConflict)).To(BeTrue(), "%v", errs[1-winner])
+			rec, err := s.live()[2].Tables().Get(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rec.Version).To(Equal(base + 1))
+			Expect(rowOf(rec.Table, "route/r1").Weight).To(Equal(weights[winner]))
+			s.table = rec.Table
+			s.awaitInForce(rec.Version)
+		}
+	})
+})
+
+// awaitInForce waits until all instances have a table version in force.
+func (s *system) awaitInForce(version uint64) {
+	GinkgoHelper()
+	for _, n := range s.live() {
+		Eventually(n.inForce, inForceLimit, "5ms").Should(BeNumerically(">=", version), n.id)
+	}
+}
--- /dev/null
+++ b/internal/daemon/system_test.go
@@ -0,0 +1,366 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/boragegate/boragegate"
+	"github.com/boragegate/boragegate/examples/backend/server"
+	"github.com/boragegate/boragegate/internal/promise"
+	"github.com/boragegate/boragegate/internal/standard"
+	"github.com/boragegate/boragegate/placement"
+	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/table"
+	"github.com/boragegate/boragegate/table/tablestore"
+)
+
+func TestDaemon(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "daemon")
+}
+
+// Bounds from docs/design.md.
+const (
+	unavailableLimit = time.Second     // 2.6 and 7: served again after a loss
+	inForceLimit     = 7 * time.Second // 2.6: table change in force everywhere
+	confirmedLimit   = 5 * time.Second // 3.7: then an instance out of contact stops
+	drainAfter       = 3 * time.Second // P6: default
+)
+
+const (
+	loopback     = "127.0.0.1:0"
+	testCell     = "test"
+	startTimeout = "30s"
+)
+
+// shape is the size of a system and the settings of its services.
+type shape struct {
+	instances, zones int
+	// targets by service.
+	targets map[string]int
+	// workTime is the time that a server takes for a request.
+	workTime time.Duration
+	// unchecked makes all services checks_grants false.
+	unchecked  bool
+	partitions int
+	logger     zerolog.Logger
+	// listen opens the listeners of servers; nil is net.Listen on loopback.
+	listen func() (net.Listener, error)
+}
+
+// system is a cell with its store and servers in this process.
+type system struct {
+	shape  shape
+	store  *memory.Store
+	policy standard.PolicyMaker
+	table  *table.Table
+
+	servers map[string]*server.Server // by row ID
+	effects promise.Effects
+	network network
+
+	mu    sync.Mutex
+	nodes []*node
+}
+
+// node is an instance that runs, and what can be cut off it.
+type node struct {
+	*Instance
+	id, zone string
+	store    *cutStore
+}
+
+func start(sh shape) *system {
+	GinkgoHelper()
+	s := &system{shape: sh, store: memory.New(memory.Options{}), servers: map[string]*server.Server{}}
+	if s.shape.partitions == 0 {
+		s.shape.partitions = 64
+	}
+	var err error
+	s.policy, err = boragegate.LoadAs[standard.PolicyMaker](context.Background(), standard.DefaultPlacement, nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.stop)
+	s.table = &table.Table{}
+	for _, name := range slices.Sorted(maps.Keys(sh.targets)) {
+		s.addService(name, sh.targets[name])
+	}
+	_, err = tablestore.New(s.store, tablestore.Options{}).Apply(context.Background(), tablestore.Request{Table: s.table, Operator: "test"})
+	Expect(err).NotTo(HaveOccurred())
+	s.table.Version = 1
+	for n := range sh.instances {
+		s.add(fmt.Sprintf("i%d", n+1), zone(n%sh.zones))
+	}
+	s.awaitSettled()
+	return s
+}
+
+func zone(n int) string { return fmt.Sprintf("zone-%d", n+1) }
+
+func (s *system) addService(name string, targets int) {
+	service := table.Service{
+		Name: name, Divided: true, Partitions: s.shape.partitions, ChecksGrants: !s.shape.unchecked,
+		Prefer: table.Availability, MaxRequestTime: table.Duration(time.Second), DrainAfter: table.Duration(drainAfter),
+	}
+	if name == "order" {
+		service.NotRepeatable = []string{"POST"}
+	}
+	s.table.Services = append(s.table.Services, service)
+	for i := range targets {
+		target := fmt.Sprintf("%s%d", name[:1], i+1)
+		srv := server.New(server.Config{
+			Service: name, Target: target, WorkTime: s.shape.workTime, IgnoreGrants: s.shape.unchecked, Observe: s.effects.Observe,
+		})
+		ln, err := s.listen()
+		Expect(err).NotTo(HaveOccurred())
+		srv.Serve(ln)
+		s.table.Rows = append(s.table.Rows, table.Row{
+			Service: name, Target: target, Address: srv.Address(), Zone: zone(i % s.shape.zones),
+			Weight: 1, Slots: 6, Connections: 100, Queue: 100,
+		})
+		s.servers[name+"/"+target] = srv
+	}
+}
+
+func (s *system) listen() (net.Listener, error) {
+	if s.shape.listen != nil {
+		return s.shape.listen()
+	}
+	return net.Listen("tcp", loopback)
+}
+
+// add starts an instance.
+func (s *system) add(id, zone string) *node {
+	GinkgoHelper()
+	n := &node{id: id, zone: zone, store: &cutStore{Store: s.store}}
+	var err error
+	n.Instance, err = New(Options{
+		ID: id, Zone: zone, Cell: testCell,
+		Listen: Addresses{Caller: loopback, Peer: loopback, Forward: loopback, Operator: loopback},
+		Store:  n.store, Plain: true, Logger: s.shape.logger, Policy: s.policy,
+		BalancerDelay: 50 * time.Millisecond,
+		edges:         s.network.edgesOf(id),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	s.network.setOwner(n.lists.forward.Addr().String(), id)
+	Expect(n.Start(context.Background())).To(Succeed())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// remove takes an instance out of the balancer's list and returns it.
+func (s *system) remove(id string) *node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, n := range s.nodes {
+		if n.id == id {
+			s.nodes = slices.Delete(slices.Clone(s.nodes), i, i+1)
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *system) live() []*node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes
+}
+
+func (s *system) node(id string) *node {
+	for _, n := range s.live() {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// stopInstance stops an instance gracefully; the balancer sees its readiness.
+func (s *system) stopInstance(id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	n := s.node(id)
+	err := n.Stop(ctx)
+	s.remove(id)
+	return err
+}
+
+// ready returns the callers' addresses of instances whose readiness check succeeds.
+func (s *system) ready() []string {
+	var list []string
+	for _, n := range s.live() {
+		if ok, _ := n.Ready(); ok {
+			list = append(list, n.CallerAddress())
+		}
+	}
+	return list
+}
+
+// calm is the time without a change of the cell after which it counts as settled:
+// the planner hands over one controller after the other.
+const calm = 1500 * time.Millisecond
+
+// awaitSettled waits until all instances are members, controllers are spread and
+// every partition is held by the server that owns it.
+func (s *system) awaitSettled() {
+	GinkgoHelper()
+	var version uint64
+	var since time.Time
+	Eventually(func() string {
+		if missing := s.missing(); missing != "" {
+			since = time.Time{}
+			return missing
+		}
+		if v := s.live()[0].View().Cell.Version; v != version || since.IsZero() {
+			version, since = v, time.Now()
+		}
+		if time.Since(since) < calm {
+			return "the cell changed lately"
+		}
+		return ""
+	}, startTimeout, "20ms").Should(BeEmpty())
+}
+
+// missing describes what is not as it should be in a system at rest.
+func (s *system) missing() string {
+	held := map[string]int{}
+	for _, n := range s.live() {
+		if ok, reason := n.Ready(); !ok {
+			return n.id + " is not ready: " + reason
+		}
+		if c := n.View().Cell; c == nil || len(c.Members) != len(s.live()) || !n.runner.InContact() {
+			return n.id + " is not in contact with all members"
+		}
+		for _, h := range n.View().Held {
+			service := h.Target[:len(h.Target)-len(targetOf(h.Target))-1]
+			if s.shape.unchecked {
+				held[service] += len(s.assignment(service).PartitionsOf(targetOf(h.Target)))
+				continue
+			}
+			held[service] += len(h.Granted)
+		}
+	}
+	for service := range s.shape.targets {
+		if held[service] != s.shape.partitions {
+			return fmt.Sprintf("%d of %d partitions of %s are held", held[service], s.shape.partitions, service)
+		}
+	}
+	return ""
+}
+
+func targetOf(rowID string) string {
+	for i := range rowID {
+		if rowID[i] == '/' {
+			return rowID[i+1:]
+		}
+	}
+	return rowID
+}
+
+// assignment returns the newest assignment of a service that an instance has.
+func (s *system) assignment(service string) *placement.Assignment {
+	newest := placement.NewAssignment(service, s.shape.partitions)
+	for _, n := range s.live() {
+		if a := n.View().Assignments[service]; a != nil && a.Version > newest.Version {
+			newest = a
+		}
+	}
+	return newest
+}
+
+// controllerOf returns the instance that controls a target.
+func (s *system) controllerOf(rowID string) string {
+	for _, n := range s.live() {
+		if _, ok := n.View().Held[rowID]; ok {
+			return n.id
+		}
+	}
+	return ""
+}
+
+// planner returns the ID of the planner.
+func (s *system) planner() string { return s.live()[0].View().Cell.Planner }
+
+// apply changes the table through an instance.
+func (s *system) apply(n *node, change func(*table.Table)) (uint64, error) {
+	t := *s.table
+	t.Services, t.Rows = slices.Clone(s.table.Services), slices.Clone(s.table.Rows)
+	change(&t)
+	res, err := n.Tables().Apply(context.Background(), tablestore.Request{Table: &t, Base: s.table.Version, Operator: "test"})
+	if err != nil {
+		return 0, err
+	}
+	s.table = res.Record.Table
+	return s.table.Version, nil
+}
+
+// setWeight and drain are table changes.
+func setWeight(rowID string, w float64) func(*table.Table) {
+	return func(t *table.Table) { rowOf(t, rowID).Weight = w }
+}
+
+func drain(rowID string) func(*table.Table) {
+	return func(t *table.Table) { rowOf(t, rowID).Drain = true }
+}
+
+func rowOf(t *table.Table, rowID string) *table.Row {
+	i := slices.IndexFunc(t.Rows, func(r table.Row) bool { return r.ID() == rowID })
+	return &t.Rows[i]
+}
+
+// inForce returns the table version that an instance has in force.
+func (n *node) inForce() uint64 {
+	if t := n.Follower().Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (s *system) stop() {
+	for _, srv := range s.servers {
+		srv.Thaw()
+	}
+	var wg sync.WaitGroup
+	for _, n := range s.live() {
+		wg.Go(n.Kill)
+	}
+	wg.Wait()
+	for _, srv := range s.servers {
+		srv.Kill()
+	}
+}
+
+// load sends a light load until the returned function is called, which returns the results.
+func (s *system) load() func() []promise.Result {
+	c := promise.NewClients(s.ready)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	stop := func() []promise.Result {
+		cancel()
+		<-done
+		return c.Take()
+	}
+	DeferCleanup(func() { stop() })
+	return stop
+}
+
+// verify checks P1, P3, P4 and P5 over the whole history.
+func (s *system) verify(results []promise.Result) {
+	GinkgoHelper()
+	list := s.effects.Snapshot()
+	Expect(promise.All(results, list, func(f server.Effect) bool { return f.Service == "order" })).To(BeEmpty())
+	GinkgoWriter.Printf("%d effects, %d results\n", len(list), len(results))
+}
--- a/internal/promise/check.go
+++ b/internal/promise/check.go
@@ -25,6 +25,8 @@
 	Outcome string
 	// Status is the HTTP status, 0 without a complete answer.
 	Status int
+	// Problem is the type of the problem that was answered, or "".
+	Problem string
 	// Wrong describes an answer that does not belong to the request, or "".
 	Wrong string
 }
@@ -95,15 +97,22 @@
 }
 
 // CheckOutcomes reports requests that were told not to have run but did (P4),
-// and answers that belong to another request or are incomplete (P3).
+// and answers that belong to another request or are incomplete (P3). Attempts
+// with the same ID are taken together: each run needs an attempt that was not
+// told not-run.
 func CheckOutcomes(results []Result, list []server.Effect) Broken {
-	ran := map[string]bool{}
+	runs, allowed := map[string]int{}, map[string]int{}
 	for _, f := range list {
-		ran[f.IdempotencyKey] = true
+		runs[f.IdempotencyKey]++
+	}
+	for _, r := range results {
+		if r.Outcome != OutcomeNotRun {
+			allowed[r.ID]++
+		}
 	}
 	var broken Broken
 	for _, r := range results {
-		if r.Outcome == OutcomeNotRun && ran[r.ID] {
+		if r.Outcome == OutcomeNotRun && runs[r.ID] > allowed[r.ID] {
 			broken.addf("P4: %s %s/%s %s was reported not run, but ran", r.Method, r.Service, r.Key, r.ID)
 		}
 		if r.Wrong != "" {
@@ -130,7 +139,7 @@
 	var broken Broken
 	for _, r := range results {
 		if r.Outcome == OutcomeUnknown {
-			broken.addf("P7: %s %s/%s %s was cut off", r.Method, r.Service, r.Key, r.ID)
+			broken.addf("P7: %s %s/%s %s was cut off: %s", r.Method, r.Service, r.Key, r.ID, r.Problem)
 		}
 	}
 	return broken
--- a/internal/promise/clients.go
+++ b/internal/promise/clients.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -99,6 +99,8 @@
 	}
 	r.Begin = time.Now()
 	path := "/items/" + r.Key + "/" + r.ID
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+"/"+r.Service+path, http.NoBody)
 	if err != nil {
 		r.Outcome, r.Wrong, r.End = OutcomeNotRun, err.Error(), time.Now()
@@ -108,8 +110,12 @@
 	req.Header.Set("Idempotency-Key", r.ID)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		r.Outcome = outcomeOf(err)
-		r.End = time.Now()
+		r.Outcome, r.End = OutcomeUnknown, time.Now()
+		// net/http repeats requests on its own, so a refused connection alone does
+		// not prove that nothing was sent.
+		if !sent.Load() {
+			r.Outcome = OutcomeNotRun
+		}
 		return r
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read
@@ -118,15 +124,6 @@
 	return r
 }
 
-// outcomeOf is "not-run" only if there was no connection to send on.
-func outcomeOf(err error) string {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return OutcomeNotRun
-	}
-	return OutcomeUnknown
-}
-
 // read sets the outcome, and what is wrong with the answer if it does not
 // belong to the request.
 func (r *Result) read(resp *http.Response, path string) {
@@ -138,10 +135,11 @@
 	r.Status = resp.StatusCode
 	if resp.StatusCode != http.StatusOK {
 		var problem struct {
+			Type    string `json:"type"`
 			Outcome string `json:"outcome"`
 		}
 		if r.Outcome = OutcomeUnknown; json.Unmarshal(body, &problem) == nil && problem.Outcome != "" {
-			r.Outcome = problem.Outcome
+			r.Outcome, r.Problem = problem.Outcome, problem.Type
 		}
 		return
 	}
--- a/internal/promise/promise_test.go
+++ b/internal/promise/promise_test.go
@@ -59,6 +59,8 @@
 	Entry("P3: answer of another request", []promise.Result{wrong(result("x", "run", 0, 1))}, nil, "P3"),
 	Entry("P4: reported not run, but ran", []promise.Result{result("x", "not-run", 0, 1)}, []server.Effect{effect("a", 1, "x", 0)}, "P4"),
 	Entry("accept not run and unknown that did not run and ran", []promise.Result{result("x", "not-run", 0, 1)}, []server.Effect{effect("a", 1, "y", 0)}, ""),
+	Entry("accept a retry that did not run after an attempt that may have", []promise.Result{result("x", "run", 0, 1), result("x", "not-run", 5, 6)},
+		[]server.Effect{effect("a", 1, "x", 0)}, ""),
 	Entry("P5: one key ran twice", nil, []server.Effect{effect("a", 1, "x", 0), effect("b", 2, "x", 5)}, "P5"),
 	Entry("accept work at a drained target until the time", nil, []server.Effect{effect("drained", 1, "x", 100)}, ""),
 	Entry("P6: new work after the time", nil, []server.Effect{effect("drained", 1, "x", 101)}, "P6"),
--- a/internal/tablesync/exchange.go
+++ b/internal/tablesync/exchange.go
@@ -47,6 +47,9 @@
 		return nil
 	}
 	n := (len(others) + roundsPerCycle - 1) / roundsPerCycle
+	if f.starting() {
+		n = len(others)
+	}
 	var turn []ownership.Member
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,6 +117,9 @@
 			f.request(m)
 		}
 	}
+	if t := f.Table(); u.Stamp != 0 && (u.Version == 0 || t != nil && t.Version >= u.Version) {
+		f.answeredBy(from)
+	}
 	asked := lease.Instant(u.Stamp) //nolint:gosec // checked below
 	if u.Stamp == 0 || u.ConfirmedAgeMS < 0 || asked < 0 || asked > f.now() {
 		return
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -68,10 +68,13 @@
 	data      []byte
 	confirmed lease.Instant
 	known     bool
-	inForce   map[string]Version
-	next      int
-	changed   chan struct{}
-	storeErr  error
+	// answered has the members that answered a request; nil once the first
+	// confirmation may count.
+	answered map[string]bool
+	inForce  map[string]Version
+	next     int
+	changed  chan struct{}
+	storeErr error
 }
 
 // Version is the table version that an instance has in force, as last heard.
@@ -82,7 +85,7 @@
 
 // New returns a follower that has not started.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, start: time.Now(), inForce: map[string]Version{}, changed: make(chan struct{})}
+	return &Follower{cfg: cfg, start: time.Now(), answered: map[string]bool{}, inForce: map[string]Version{}, changed: make(chan struct{})}
 }
 
 // Start starts to follow.
@@ -228,7 +231,7 @@
 func (f *Follower) confirm(version uint64, at lease.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.current == nil || f.current.Version < version {
+	if f.current == nil || f.current.Version < version || !f.caughtUp() {
 		return
 	}
 	if !f.known || at > f.confirmed {
@@ -236,6 +239,45 @@
 	}
 }
 
+// caughtUp reports whether this process knows at least the version that was in
+// force in its cell when it started. It remembers no version from before, and the
+// store may read from a replica that lags; so it hears a majority of the members
+// first, itself included. Called with the mutex held.
+func (f *Follower) caughtUp() bool {
+	if f.answered == nil {
+		return true
+	}
+	members := f.cfg.Members()
+	count, self := 0, false
+	for _, m := range members {
+		self = self || m.ID == f.cfg.Self
+		if m.ID == f.cfg.Self || f.answered[m.ID] {
+			count++
+		}
+	}
+	if !self || count <= len(members)/2 {
+		return false
+	}
+	f.answered = nil
+	return true
+}
+
+// answeredBy notes that a member told its version, which is in force here now.
+func (f *Follower) answeredBy(from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.answered != nil {
+		f.answered[from] = true
+	}
+}
+
+// starting reports whether the first confirmation is still missing.
+func (f *Follower) starting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answered != nil
+}
+
 // notify wakes up all that wait for a change; called with the mutex held.
 func (f *Follower) notify() {
 	close(f.changed)
