Take partitions without load as idle

Cause: the gateway leaves idle partitions out of its load reports, and the planner kept their old load, so a hot spot that had cooled down would have gone on driving moves. Change: a report sets the load of all partitions of its target, those not listed to zero. Measured: go test ./ownership passes; no figure for moves, the policy's own traces always list every partition.

--- a/ownership/planner.go
+++ b/ownership/planner.go
@@ -195,6 +195,10 @@
 		if len(sp.load) != len(sp.s.a.Owner) {
 			sp.load = make([]float64, len(sp.s.a.Owner))
 		}
+		// A report leaves out idle partitions.
+		for _, p := range sp.s.a.PartitionsOf(targetName(r.Target)) {
+			sp.load[p] = 0
+		}
 		for _, p := range r.Partitions {
 			if p.Partition >= 0 && p.Partition < len(sp.load) {
 				sp.load[p.Partition] = p.Load
