Bound the reading of refused bodies and count hot keys with package placement

Cause: a new test of request bodies hung: a caller that stalls in its body held a goroutine without limit, because net/http reads the rest of a refused body before it answers and the gateway had cleared the read deadline. Change: refused bodies are drained for at most 1 s, and large or stalled ones end the connection. LoadReports uses placement.HotKeys, and the gateway's own sketch is gone. Conclusion: slow callers cost no goroutine beyond the stall timeout.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -15,6 +15,7 @@
 
 func TestAdmission(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second) // the machine may be busy
 	RunSpecs(t, "admission")
 }
 
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -92,7 +92,7 @@
 	if tooBig := new(http.MaxBytesError); errors.As(err, &tooBig) {
 		return tooLarge()
 	}
-	return notRun(http.StatusBadRequest, "body-incomplete", "the body could not be read")
+	return notRun(http.StatusBadRequest, slugBodyIncomplete, "the body could not be read")
 }
 
 // repeatable reports whether the body can be sent once more.
@@ -112,6 +112,25 @@
 	req.Body, _ = req.GetBody()
 }
 
+const slugBodyIncomplete = "body-incomplete"
+
+// drainTime bounds the time for which the rest of a refused body is read.
+const drainTime = time.Second
+
+// limitUnread bounds what net/http reads of a refused body that was not read to
+// its end. Without a limit of time, a caller that stalls would hold the
+// goroutine. A body that is large or has stalled also ends the connection;
+// otherwise net/http would read the rest before it answers.
+func limitUnread(w http.ResponseWriter, r *http.Request, b *body, f *failure) {
+	if r.ContentLength == 0 || b != nil && b.rest == nil {
+		return
+	}
+	if r.ContentLength < 0 || r.ContentLength > bodyPrefix || f.slug == slugBodyIncomplete {
+		w.Header().Set("Connection", "close")
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTime)) // not supported by recorders in tests
+}
+
 // release ends the use of the caller's connection by attempts that still send.
 func (b *body) release() {
 	if b == nil {
@@ -151,8 +170,8 @@
 	}
 	s.setDeadline(until)
 	n, err := s.r.Read(p)
-	if err != nil {
-		s.setDeadline(time.Time{})
+	if errors.Is(err, io.EOF) {
+		s.setDeadline(time.Time{}) // lets net/http notice a hang-up from here on
 	}
 	return n, err
 }
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -15,19 +15,19 @@
 	keepEndToEnd(r.Header, headerKey, headerDeadline)
 	snapshot := g.cfg.Routes.Load()
 	if !snapshot.Serving {
-		g.refuse(w, r, id, started, unavailable("not-serving", "this instance takes no requests: "+snapshot.Reason))
+		g.refuse(w, r, nil, id, started, unavailable("not-serving", "this instance takes no requests: "+snapshot.Reason))
 		return
 	}
 	c, f := g.newCall(r, snapshot)
 	if f != nil {
-		g.refuse(w, r, id, started, f)
+		g.refuse(w, r, nil, id, started, f)
 		return
 	}
 	c.id = id
 	defer func() { c.body.release() }()
 	resp, f := g.answer(w, c) //nolint:bodyclose // relay closes it
 	if f != nil {
-		g.refuse(w, r, id, started, f)
+		g.refuse(w, r, c.body, id, started, f)
 		return
 	}
 	g.noteAnswer(c.service.Name, started)
@@ -44,7 +44,7 @@
 }
 
 // refuse answers a caller with a failure.
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, id string, started time.Time, f *failure) {
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, b *body, id string, started time.Time, f *failure) {
 	g.noteFailure(r, id, started, f)
 	if f.status == statusClientClosed && r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
@@ -52,6 +52,7 @@
 	if f.slug == "not-owner" {
 		f.status = http.StatusServiceUnavailable // 421 is between instances and servers
 	}
+	limitUnread(w, r, b, f)
 	w.Header().Set(headerRequestID, id)
 	f.write(w, id)
 }
@@ -72,13 +73,13 @@
 		if f.slug == "unknown-service" {
 			f = notOwner("this instance does not know the service yet")
 		}
-		g.refuseForwarded(w, r, id, f)
+		g.refuseForwarded(w, r, nil, id, f)
 		return
 	}
 	c.id = id
 	defer func() { c.body.release() }()
 	if c.body, f = g.readBody(w, c); f != nil {
-		g.refuseForwarded(w, r, id, f)
+		g.refuseForwarded(w, r, c.body, id, f)
 		return
 	}
 	d, f := g.forwardedTo(c, target)
@@ -90,7 +91,7 @@
 		if d.target != nil && d.target.Local {
 			maps.Copy(w.Header(), loadHeader(g.targets.of(d.target).gate.Load()))
 		}
-		g.refuseForwarded(w, r, id, f)
+		g.refuseForwarded(w, r, c.body, id, f)
 		return
 	}
 	var own http.Header
@@ -122,10 +123,11 @@
 }
 
 // refuseForwarded answers another instance with a failure.
-func (g *Gateway) refuseForwarded(w http.ResponseWriter, r *http.Request, id string, f *failure) {
+func (g *Gateway) refuseForwarded(w http.ResponseWriter, r *http.Request, b *body, id string, f *failure) {
 	if f.status == statusClientClosed && r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
+	limitUnread(w, r, b, f)
 	w.Header().Set(headerAgain, string(f.again))
 	f.write(w, id)
 }
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -5,18 +5,26 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/placement"
 )
 
-// maxHotKeys is the number of keys in a load report.
-const maxHotKeys = 32
+const (
+	// maxHotKeys is the number of keys in a load report.
+	maxHotKeys = 32
+	// countedKeys is the number of keys that are counted: a key with more than
+	// 1/countedKeys of the load is found for certain.
+	countedKeys = 256
+)
 
 // usage adds up the time that requests of a target hold slots, since the last report.
 type usage struct {
 	mu         sync.Mutex
 	since      time.Time
 	partitions map[int]time.Duration
-	keys       sketch
+	keys       *placement.HotKeys
 }
 
 func (u *usage) add(partition int, key string, held time.Duration) {
@@ -26,10 +34,10 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.partitions == nil {
-		u.partitions = make(map[int]time.Duration)
+		u.partitions, u.keys = make(map[int]time.Duration), placement.NewHotKeys(countedKeys)
 	}
 	u.partitions[partition] += held
-	u.keys.add(key, partition, held.Seconds())
+	u.keys.Observe(key, xxhash.Sum64String(key), partition, held.Seconds())
 }
 
 // take returns the load since the last report, in slot-seconds per second, and
@@ -38,16 +46,17 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	report := ownership.LoadReport{Target: target}
-	if seconds := now.Sub(u.since).Seconds(); seconds > 0 {
+	if seconds := now.Sub(u.since).Seconds(); seconds > 0 && u.partitions != nil {
 		for p, held := range u.partitions {
 			report.Partitions = append(report.Partitions, ownership.PartitionLoad{Partition: p, Load: held.Seconds() / seconds})
 		}
-		for _, k := range u.keys.top(maxHotKeys) {
-			report.HotKeys = append(report.HotKeys, ownership.KeyLoad{Key: k.key, Partition: k.partition, Load: k.sure() / seconds})
+		for _, k := range u.keys.Top(maxHotKeys) {
+			// Without the error, so that no key is reported with the load of others.
+			report.HotKeys = append(report.HotKeys, ownership.KeyLoad{Key: k.Key, Partition: k.Partition, Load: (k.Load - k.Error) / seconds})
 		}
 	}
 	slices.SortFunc(report.Partitions, func(a, b ownership.PartitionLoad) int { return a.Partition - b.Partition })
-	u.since, u.partitions, u.keys = now, nil, sketch{}
+	u.since, u.partitions, u.keys = now, nil, nil
 	return report
 }
 
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,5 +10,6 @@
 
 func TestGateway(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second) // the machine may be busy
 	RunSpecs(t, "gateway")
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -19,6 +19,7 @@
 
 func TestHTTP1(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second) // the machine may be busy
 	RunSpecs(t, "http1")
 }
 
