--- a/ownership/core.go
+++ b/ownership/core.go
@@ -34,12 +34,15 @@
 	nextBeat  lease.Instant
 	lastStamp map[string]lease.Stamp // newest heartbeat of each member, to acknowledge again
 	returning bool                   // contact was lost and is not proven with the newest record
+	currentAt lease.Instant          // last moment without news of a newer record
 	until     lease.Instant          // last ExtendContact
 
 	cell            *Cell
 	cellProvisional bool
 	cellProposal    *Cell
 	cellSlot        *slot
+	chain           lineage
+	storeCell       *Cell             // record that the store had last
 	terms           map[string]uint64 // highest term heard of, by target
 	services        map[string]*serviceState
 	order           []*serviceState // services by name
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -10,7 +10,7 @@
 func (c *Core) onReleaseOrder(from string, m ReleaseOrder) {
 	h := c.held[m.Target]
 	s := c.services[serviceOf(m.Target)]
-	if h == nil || h.term != m.Term || h.keepSet || from != c.cell.Planner || s == nil || s.a == nil || !c.inContact() {
+	if h == nil || h.term != m.Term || from != c.cell.Planner || s == nil || s.a == nil || !c.inContact() {
 		return
 	}
 	h.reportAt = c.now
@@ -63,11 +63,14 @@
 		}
 		return
 	}
-	if h.release.id != 0 {
-		h.release.partitions = append(h.release.partitions, e.Partitions...)
-		e.Partitions = h.release.partitions
+	// A partition that was granted again in the meantime must not be released.
+	ps := slices.DeleteFunc(append(h.release.partitions, e.Partitions...), func(p int) bool {
+		pr, ok := h.promised[p]
+		return !ok || pr.done
+	})
+	if len(ps) > 0 {
+		c.sendRelease(h, ps)
 	}
-	c.sendRelease(h, e.Partitions)
 }
 
 // endControl tells the new controller that nothing is in flight here any more.
@@ -85,8 +88,7 @@
 	r := c.request(h)
 	r.Release, r.LeaseMS = true, 0
 	r.Set, r.Removals = h.set, ranges(ps, nil)
-	svc, _ := c.tableService(h.service)
-	r.Timeout = maxRequestTime(svc)
+	r.Timeout = releaseTimeout
 	h.release = call{partitions: ps, set: h.set, id: c.call(h, r)}
 }
 
--- a/ownership/server.go
+++ b/ownership/server.go
@@ -14,6 +14,9 @@
 	callSlack = 150 * time.Millisecond
 	// callRetry is the time between calls to a server that fails.
 	callRetry = 50 * time.Millisecond
+	// releaseTimeout is the time after which a release is asked again. The server
+	// may take longer to finish what is in flight; asking again does no harm.
+	releaseTimeout = 2 * time.Second
 	// defaultMaxRequestTime bounds requests of services that do not say.
 	defaultMaxRequestTime = 30 * time.Second
 	// steadyReports is the number of report intervals between reports of a target
@@ -27,17 +30,17 @@
 // to date. The set is always confirmed as a whole before a lease is extended, so
 // a server that comes back never acts on a set from before.
 func (c *Core) advanceServer(h *holding) {
+	if h.stale > 0 {
+		return // somebody else renews; nothing is known of the lease
+	}
 	if h.state != TargetLapsed && h.grantor.Lapsed(c.now) {
 		c.setState(h, TargetLapsed)
 	}
-	if h.stale > 0 || c.now < h.retryAt {
+	if c.now < h.retryAt {
 		return
 	}
 	if c.blind(h) {
-		if h.renew == 0 {
-			c.sendRenewal(h)
-		}
-		return
+		return // the server may hold what others own; its lease must not be extended
 	}
 	c.stopPromised(h)
 	if h.change.id == 0 && (!h.synced || h.compare) {
@@ -59,7 +62,7 @@
 // not know yet what the planner decided.
 func (c *Core) blind(h *holding) bool {
 	s := c.services[h.service]
-	return h.keepSet || s == nil || s.version() < h.minVersion
+	return s == nil || s.version() < h.minVersion
 }
 
 func (c *Core) request(h *holding) ServerRequest {
@@ -166,8 +169,11 @@
 	h.compare, c.viewDirty = true, true
 	h.confirmed = max(h.confirmed, ch.set)
 	h.granted = maps.Clone(ch.want)
-	for p := range h.promised {
-		delete(h.granted, p) // released while the call was under way
+	for p, pr := range h.promised {
+		if _, ok := h.granted[p]; ok && pr.done {
+			h.synced = false // the server must lose it before its lease is extended
+		}
+		delete(h.granted, p)
 	}
 }
 
@@ -177,7 +183,6 @@
 	h.notBefore = h.grantor.Until()
 	h.grantor.Reset()
 	h.synced, h.granted, c.viewDirty = false, map[int]uint64{}, true
-	h.fresh = true
 	if h.release.id != 0 {
 		c.releaseReplied(h, ServerReplied{Err: errRestarted}) // asks the new process
 	}
@@ -186,7 +191,8 @@
 
 func (c *Core) callFailed(h *holding, e ServerReplied) {
 	if errors.Is(e.Err, ErrStaleTerm) {
-		h.stale = max(e.Reply.Term, h.term+1)
+		h.stale, h.granted = max(e.Reply.Term, h.term+1), map[int]uint64{}
+		c.setState(h, TargetUnknown)
 		h.reportAt = c.now
 		c.record(false, "term.stale", "target", h.id, "term", h.term)
 		return
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -14,6 +14,8 @@
 	since lease.Instant
 	// next is the record that is being written.
 	next *Cell
+	// base is the version that the store had when next was made.
+	base uint64
 	// change moves the planner's targets while the store is down.
 	change *change
 	// founding is the record with which this instance founds a cell.
@@ -56,8 +58,13 @@
 }
 
 func (c *Core) writeTakeover() {
-	if c.take.next == nil || c.take.next.Version>>32 != c.cell.PlannerTerm+1 {
+	if c.take.next == nil || c.take.base != c.cellSlot.seen || c.take.next.Version>>32 != c.cell.PlannerTerm+1 {
+		c.take.base = c.cellSlot.seen
 		next := c.cell.Clone()
+		if !c.chain.has(c.cellSlot.seen) {
+			// The planner wrote before it was lost; nobody was told.
+			next = merge(c.storeCell, c.cell)
+		}
 		next.Planner, next.PlannerTerm = c.cfg.Self.ID, c.cell.PlannerTerm+1
 		next.Version = nextCellVersion(c.cell.Version, next.PlannerTerm, 0)
 		c.take.next = next
@@ -85,6 +92,11 @@
 	}
 }
 
+func (c *Core) leased(target string) bool {
+	svc, ok := c.tableService(serviceOf(target))
+	return !ok || svc.Leased()
+}
+
 // rank is the number of living members before this one in the record's order.
 func (c *Core) rank() int {
 	n := 0
@@ -100,7 +112,8 @@
 }
 
 // actForPlanner takes over the targets of a lost planner while the store is
-// down. Nothing else is decided: the servers keep the partitions that they have.
+// down, if they own no partitions. Others wait for the store, which may have a
+// last assignment of the planner that nobody else knows.
 func (c *Core) actForPlanner() {
 	if c.take.change == nil || c.take.change.base != c.cell.Version {
 		next := c.cell.Clone()
@@ -112,8 +125,8 @@
 		}
 		changed := false
 		for i := range next.Controllers {
-			if r := &next.Controllers[i]; r.Instance == c.cell.Planner {
-				r.Instance, r.Term, r.KeepSet, r.MinVersion = c.cfg.Self.ID, r.Term+2+index, true, 0
+			if r := &next.Controllers[i]; r.Instance == c.cell.Planner && !c.leased(r.Target) {
+				r.Instance, r.Term, r.MinVersion = c.cfg.Self.ID, r.Term+2+index, 0
 				changed = true
 			}
 		}
--- a/placement/placementtest/scenario.go
+++ b/placement/placementtest/scenario.go
@@ -27,6 +27,8 @@
 	QuietMoves int
 	// Join, Leave, Weight and Loss are keys moved over the least that any plan must move.
 	Join, Leave, Weight, Loss float64
+	// Filled is the load of the joined target over its share.
+	Filled float64
 	// After is the largest imbalance at the end of those four changes.
 	After float64
 	// Recovery is the time to an imbalance under 1.2 after the 17 hottest keys change; negative if never.
@@ -38,8 +40,8 @@
 
 // Header and String make a table.
 func Header() string {
-	return fmt.Sprintf("%-38s %-16s %7s %6s %6s %6s %6s %6s %6s %7s %8s %6s", "fleet", "policy",
-		"steady", "moves", "join", "leave", "weight", "loss", "after", "shifted", "to <1.2", "moves")
+	return fmt.Sprintf("%-38s %-16s %7s %6s %6s %6s %6s %6s %6s %6s %7s %8s %6s", "fleet", "policy",
+		"steady", "moves", "join", "filled", "leave", "weight", "loss", "after", "shifted", "to <1.2", "moves")
 }
 
 // String formats one row.
@@ -48,8 +50,8 @@
 	if r.Recovery >= 0 {
 		recovery = r.Recovery.String()
 	}
-	return fmt.Sprintf("%-38s %-16s %7.3f %6d %6.3f %6.3f %6.3f %6.3f %6.3f %7.3f %8s %6d", r.Fleet, r.Policy,
-		r.Steady, r.QuietMoves, r.Join, r.Leave, r.Weight, r.Loss, r.After, r.Shifted, recovery, r.HotMoves)
+	return fmt.Sprintf("%-38s %-16s %7.3f %6d %6.3f %6.3f %6.3f %6.3f %6.3f %6.3f %7.3f %8s %6d", r.Fleet, r.Policy,
+		r.Steady, r.QuietMoves, r.Join, r.Filled, r.Leave, r.Weight, r.Loss, r.After, r.Shifted, recovery, r.HotMoves)
 }
 
 const (
@@ -79,6 +81,7 @@
 	r.Steady, r.QuietMoves = slices.Max(s.Imbalance), s.Count()
 	s.Stale, s.Misleading = 0, 0
 	r.Join = s.Change(&r, Join)
+	r.Filled = s.fill(len(s.In.Targets) - 1)
 	r.Leave = s.Change(&r, Leave)
 	r.Weight = s.Change(&r, Weight)
 	r.Loss = s.Change(&r, Lose)
@@ -144,6 +147,17 @@
 	return s.In.Targets[i].Weight / sum
 }
 
+// fill is the expected load of the target over its share by weight.
+func (s *Sim) fill(i int) float64 {
+	load := 0.0
+	for p, rate := range s.rates {
+		if s.In.Assignment.OwnerOf(p) == s.In.Targets[i].Name {
+			load += rate
+		}
+	}
+	return load / (s.part(i) * s.Traffic.Load)
+}
+
 // keys is the number of keys of the target, or of all if the name is empty.
 func (s *Sim) keys(target string) float64 {
 	sum := 0.0
@@ -225,3 +239,53 @@
 	d.Alternating = s.Count()
 	return d
 }
+
+// Zone is what the loss and the return of a zone move.
+type Zone struct {
+	// Loss is the keys moved over those of the zone's targets, Back the keys
+	// moved after the return over the zone's share.
+	Loss, Back float64
+	// After is the imbalance after the loss, Refilled the time from the return until it is under 1.2 again.
+	After    float64
+	Refilled time.Duration
+}
+
+// MeasureZone loses all targets of one zone at once and brings them back.
+func MeasureZone(f Fleet, seed uint64) Zone {
+	s := NewSim(seed, placement.NewWeighted(placement.Settings{}), f.Traffic(seed), f.Targets(), f.Stability)
+	s.Run(warmUp)
+	s.Reset()
+	lost, zone := 0.0, s.In.Targets[1].Zone
+	for _, t := range s.In.Targets {
+		if t.Zone == zone {
+			lost += s.keys(t.Name)
+		}
+	}
+	s.setZone(zone, true)
+	s.Run(time.Minute)
+	z := Zone{Loss: s.Moved / lost, After: s.Current(), Refilled: -1}
+	s.Reset()
+	s.setZone(zone, false)
+	share := 0.0
+	for i, t := range s.In.Targets {
+		if t.Zone == zone {
+			share += s.part(i) * s.keys("")
+		}
+	}
+	for t := Step; t <= 2*settle; t += Step {
+		if s.Run(Step); z.Refilled < 0 && s.Current() < goal {
+			z.Refilled = t
+		}
+	}
+	z.Back = s.Moved / share
+	return z
+}
+
+func (s *Sim) setZone(zone string, lost bool) {
+	s.In.Targets = slices.Clone(s.In.Targets)
+	for i := range s.In.Targets {
+		if t := &s.In.Targets[i]; t.Zone == zone {
+			t.Lost, t.Usable = lost, !lost
+		}
+	}
+}
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -19,19 +19,21 @@
 	start, index []int32
 	// tolerance is the deviation from the share, as a part of it, that is left alone.
 	tolerance float64
-	// fillUp also moves partitions to nodes below their share when no node is
-	// far above it, and prefers partitions of mean cost, which keeps key
-	// counts in proportion. Otherwise only nodes above their share are relieved,
+	// fillUp also moves partitions to receivers below their share when no donor is
+	// far above it, and prefers partitions whose cost fills
+	// load and number of partitions together. Otherwise only donors above their share are relieved,
 	// of the largest partitions that fit, which moves fewest keys.
 	fillUp bool
+	// keepExcess leaves donors above their share alone once the receivers are filled.
+	keepExcess bool
 	// overfill is the part of its share by which a receiver may exceed it.
 	overfill float64
 	// mean is the mean cost of a partition.
 	mean float64
 }
 
-// newRebalancer returns a rebalancer that takes from the donors.
-func newRebalancer(b *board, tolerance float64, fillUp bool, donors []int) *rebalancer {
+// newRebalancer returns a rebalancer that takes from the donors and gives to the receivers.
+func newRebalancer(b *board, tolerance float64, fillUp bool, donors, receivers []int) *rebalancer {
 	n := len(b.nodes)
 	r := &rebalancer{
 		b: b, donors: newRanking(n), receivers: newRanking(n), lists: make([][]int32, n),
@@ -40,19 +42,25 @@
 	for _, i := range donors {
 		r.donors.set(i, r.urgency(i))
 	}
-	for i := range b.nodes {
-		if n := &b.nodes[i]; n.receives {
-			r.receivers.set(i, n.load-n.share)
-		}
+	for _, i := range receivers {
+		r.receivers.set(i, r.need(&b.nodes[i]))
 	}
 	return r
 }
 
-// urgency ranks donors: overloaded ones by their fill, else by the excess.
+// need ranks receivers by their room; for filling up, relative to their slack.
+func (r *rebalancer) need(n *node) float64 {
+	if r.fillUp {
+		return (n.load - n.share) / r.slack(n)
+	}
+	return n.load - n.share
+}
+
+// urgency ranks donors: overloaded ones by their fill, else by the excess relative to their slack.
 func (r *rebalancer) urgency(i int) float64 {
 	n := &r.b.nodes[i]
 	if r.fillUp {
-		return n.share - n.load
+		return (n.share - n.load) / r.slack(n)
 	}
 	return -n.fill()
 }
@@ -69,12 +77,11 @@
 			return 0, 0, 0, false
 		}
 		donor, receiver := &r.b.nodes[d], &r.b.nodes[v]
-		balanced := donor.load-donor.share <= r.slack(donor)
-		if r.fillUp {
-			balanced = balanced && receiver.share-receiver.load <= r.slack(receiver)
-		}
-		if balanced {
-			return 0, 0, 0, false
+		over := donor.load-donor.share > r.slack(donor) && !r.keepExcess
+		under := receiver.share-receiver.load > r.slack(receiver) && r.fillUp
+		if !over && !under {
+			r.donors.remove(d)
+			continue
 		}
 		if p = r.pick(d, receiver); p < 0 {
 			r.donors.remove(d)
@@ -92,7 +99,7 @@
 		r.donors.set(i, r.urgency(i))
 	}
 	if n := &r.b.nodes[i]; r.receivers.pos[i] >= 0 {
-		r.receivers.set(i, n.load-n.share)
+		r.receivers.set(i, r.need(n))
 	}
 }
 
@@ -111,7 +118,7 @@
 	i := 0
 	if r.fillUp {
 		gain *= 2
-		i = r.nearest(list, min(r.mean, gain))
+		i = r.nearest(list, min(r.ordinary(receiver), gain))
 	} else {
 		i = max(0, r.last(list, min(excess, room+r.overfill*receiver.share)))
 	}
@@ -126,6 +133,17 @@
 	return p
 }
 
+// ordinary is the cost per partition that fills the receiver's load and its
+// number of partitions together, at least the mean: a receiver of few but heavy
+// partitions is not filled up with many light ones, which would be churn.
+func (r *rebalancer) ordinary(receiver *node) float64 {
+	count := receiver.share/r.mean - float64(receiver.count)
+	if count < 1 {
+		return r.mean
+	}
+	return max(r.mean, (receiver.share-receiver.load)/count)
+}
+
 // last returns the place of the largest partition that costs at most bound, or -1.
 func (r *rebalancer) last(list []int32, bound float64) int {
 	return sort.Search(len(list), func(i int) bool { return r.b.cost[list[i]] > bound }) - 1
