Exchange requests over http.Transport again

Cause: users want HTTP between instances, callers and servers from the standard library, and internal/http1 was a transport of the project's own. A wrapper of net.Conn proves whether a byte of a request was written, refuses to start a request on a connection with unread bytes, and prevents the transport from repeating a request. The tests of internal/http1 move to the gateway, with further ones for repetitions, late and left-over answers and connections that the server closes during a request.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -85,17 +85,16 @@
 // forwardTransport returns the connections to other instances. With TLS, each
 // connection must prove that it leads to the member that has the address.
 func (i *Instance) forwardTransport() http.RoundTripper {
-	t := gateway.NewTransport(nil, forwardConnections)
+	t := gateway.NewTransport(forwardConnections)
 	if i.keys == nil {
 		return t
 	}
-	dial := t.DialContext
-	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	t.DialTLSContext = gateway.Tracked(func(ctx context.Context, network, address string) (net.Conn, error) {
 		id, err := i.memberAt(address)
 		if err != nil {
 			return nil, err
 		}
-		conn, err := dial(ctx, network, address)
+		conn, err := gateway.Dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -105,7 +104,7 @@
 			return nil, err
 		}
 		return secured, nil
-	}
+	})
 	return t
 }
 
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -24,7 +24,7 @@
 		return
 	}
 	c.id = id
-	defer func() { c.body.release() }()
+	defer func() { c.end(); c.body.release() }()
 	resp, f := g.answer(w, c) //nolint:bodyclose // relay closes it
 	if f != nil {
 		g.refuse(w, r, id, started, f)
@@ -76,7 +76,7 @@
 		return
 	}
 	c.id = id
-	defer func() { c.body.release() }()
+	defer func() { c.end(); c.body.release() }()
 	if c.body, f = g.readBody(w, c); f != nil {
 		g.refuseForwarded(w, r, id, f)
 		return
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -1,17 +1,57 @@
 package gateway
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
 
-	"github.com/boragegate/boragegate/internal/http1"
+// Constants of connection pools.
+const (
+	forwardConnections = 512 // idle connections to another instance
+	idleTimeout        = 60 * time.Second
+	keepAlive          = 15 * time.Second
+	readBuffer         = 8 << 10
+	writeBuffer        = 4 << 10
+	maxAnswerHeader    = 64 << 10
 )
 
-// forwardConnections is the number of idle connections to another instance.
-const forwardConnections = 512
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial opens a connection to a server or another instance.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: DefaultDialTimeout, KeepAlive: keepAlive}
+	return d.DialContext(ctx, network, address)
+}
+
+// NewTransport returns a pool of HTTP/1.1 connections, one exchange at a time on
+// each, that keeps at most the given number of idle connections to each address.
+// It is used for servers and for the forward listeners of other instances. A
+// DialTLSContext that is set for these has to come from Tracked.
+func NewTransport(idle int) *http.Transport {
+	return &http.Transport{
+		DialContext:            Tracked(Dial),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		ReadBufferSize:         readBuffer,
+		WriteBufferSize:        writeBuffer,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{}, // no HTTP/2
+	}
+}
 
-// NewTransport returns a pool of HTTP/1.1 connections that keeps at most the
-// given number of idle connections to each address. It is used for servers and,
-// with TLS, for the forward listeners of other instances.
-func NewTransport(tlsConfig *tls.Config, connections int) *http1.Transport {
-	return http1.New(tlsConfig, connections)
+// Tracked lets a pool prove for the connections of dial whether a request was
+// written and whether an answer belongs to it.
+func Tracked(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newTrackedConn(c), nil
+	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,29 +6,53 @@
 	"net/http"
 	"net/url"
 	"time"
+)
 
-	"github.com/boragegate/boragegate/internal/http1"
+// Errors of answers that cannot be passed on.
+var (
+	errNotAsked = errors.New("the answer came before the request")
+	errStatus   = errors.New("the status of the answer is informational or not valid")
 )
 
 // exchange sends one request and returns the answer's header with its body
 // still to be read. The failure's outcome is not-run only if no byte of the
 // request was written.
 func (g *Gateway) exchange(c *call, t http.RoundTripper, u *url.URL, h http.Header) (*http.Response, *failure) {
+	c.end()
+	a, ctx := newAttempt(c)
 	u.RawQuery = c.in.URL.RawQuery
 	req := (&http.Request{
 		Method: c.in.Method, URL: u, Host: c.in.Host, Header: h,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}).WithContext(c.ctx)
+	}).WithContext(ctx)
 	c.body.attach(req)
 	resp, err := t.RoundTrip(req)
+	if err == nil {
+		err = a.check(t, resp)
+	}
 	if err != nil {
-		return nil, g.exchangeFailure(c, err)
+		f := g.exchangeFailure(c, a.nothingWritten(t))
+		c.end()
+		return nil, f
 	}
 	return resp, nil
 }
 
-// deadlineContext adds a deadline to the caller's context. http1 sets it on the
-// connection, which costs less than the timer of a derived context.
+// check closes an answer that must not be passed on.
+func (a *attempt) check(t http.RoundTripper, resp *http.Response) (err error) {
+	switch {
+	case !a.answered(t):
+		err = errNotAsked
+	case resp.StatusCode < http.StatusOK: // with 101, the server switched protocols unasked
+		err = errStatus
+	default:
+		return nil
+	}
+	_ = resp.Body.Close()
+	return err
+}
+
+// deadlineContext adds a deadline to the caller's context, without a timer.
 type deadlineContext struct {
 	context.Context
 	deadline time.Time
@@ -38,9 +62,7 @@
 func (c deadlineContext) Deadline() (time.Time, bool) { return c.deadline, true }
 
 // exchangeFailure explains why there is no answer.
-func (g *Gateway) exchangeFailure(c *call, err error) *failure {
-	proof := new(http1.Error)
-	nothingWritten := errors.As(err, &proof) && !proof.Written
+func (g *Gateway) exchangeFailure(c *call, nothingWritten bool) *failure {
 	f := &failure{
 		status: http.StatusBadGateway, slug: "server-lost", detail: "the connection broke before an answer",
 		outcome: OutcomeUnknown, again: againNever,
--- /dev/null
+++ b/internal/gateway/exchange_test.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+// answerTo answers the nth request of a connection.
+type answerTo func(n int, conn net.Conn, req *http.Request) (keep bool)
+
+// raw writes bytes after each request; "\n" stands for CRLF.
+func raw(text string, keep bool) answerTo {
+	return func(_ int, conn net.Conn, req *http.Request) bool {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+		return keep
+	}
+}
+
+var _ = Describe("exchange", func() {
+	const whole = "HTTP/1.1 200 OK\nContent-Length: 2\n\nab"
+	var (
+		g       *Gateway
+		t       *http.Transport
+		address string
+		dialled atomic.Int64
+		seen    sync.Map     // path of a request to its *atomic.Int64
+		answer  atomic.Value // answerTo
+	)
+	arrivals := func(path string) int64 {
+		n, _ := seen.LoadOrStore(path, new(atomic.Int64))
+		return n.(*atomic.Int64).Load()
+	}
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		in := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			count, _ := seen.LoadOrStore(req.URL.Path, new(atomic.Int64))
+			count.(*atomic.Int64).Add(1)
+			if !answer.Load().(answerTo)(n, conn, req) {
+				return
+			}
+		}
+	}
+	BeforeEach(func() {
+		ignore := goleak.IgnoreCurrent()
+		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
+		dialled.Store(0)
+		seen.Clear()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = l.Addr().String()
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				dialled.Add(1)
+				go serve(conn)
+			}
+		}()
+		g, t = New(Config{}), NewTransport(4)
+		DeferCleanup(func() { t.CloseIdleConnections(); _ = l.Close() })
+	})
+	sendHeader := func(ctx context.Context, method, path string, b *body, h http.Header) (string, *failure) {
+		in, err := http.NewRequestWithContext(ctx, method, "http://x"+path, nil)
+		if err != nil {
+			return "", g.exchangeFailure(nil, true)
+		}
+		deadline, ok := ctx.Deadline()
+		if !ok {
+			deadline = time.Now().Add(5 * time.Second)
+		}
+		c := &call{in: in, ctx: deadlineContext{ctx, deadline}, deadline: deadline, body: b}
+		defer c.end()
+		resp, f := g.exchange(c, t, &url.URL{Scheme: "http", Host: address, Path: path}, h)
+		if f != nil {
+			return "", f
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return string(text), &failure{outcome: OutcomeUnknown}
+		}
+		return string(text), nil
+	}
+	send := func(ctx context.Context, method, path string, b *body) (string, *failure) {
+		return sendHeader(ctx, method, path, b, http.Header{})
+	}
+	bg := context.Background()
+
+	DescribeTable("uses a connection again only after a whole answer",
+		// Guards against an answer that contains bytes of another one.
+		func(a answerTo, want string, fails bool, connections int) {
+			answer.Store(a)
+			for range 2 {
+				got, f := send(bg, "GET", "/x", nil)
+				Expect(got).To(Equal(want))
+				Expect(f != nil).To(Equal(fails))
+			}
+			Expect(dialled.Load()).To(BeEquivalentTo(connections))
+		},
+		Entry("whole", raw(whole, true), "ab", false, 1),
+		Entry("chunked", raw("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n2\nab\n0\n\n", true), "ab", false, 1),
+		Entry("after an informational answer", raw("HTTP/1.1 103 Early Hints\n\n"+whole, true), "ab", false, 1),
+		Entry("no content", raw("HTTP/1.1 204 No Content\n\n", true), "", false, 1),
+		Entry("close announced", raw("HTTP/1.1 200 OK\nConnection: close\nContent-Length: 2\n\nab", false), "ab", false, 2),
+		Entry("bytes after the answer", raw(whole+"HTTP/1.1 200 OK\n", true), "ab", false, 2),
+		Entry("short", raw("HTTP/1.1 200 OK\nContent-Length: 3\n\nab", false), "ab", true, 2),
+		Entry("upgrade", raw("HTTP/1.1 101 Switching Protocols\n\n", true), "", true, 2),
+		Entry("large header", raw("HTTP/1.1 200 OK\nX: "+strings.Repeat("x", 80<<10)+"\nContent-Length: 2\n\nab", false), "", true, 2),
+	)
+
+	DescribeTable("never passes on bytes that were left over",
+		// Guards against an answer to another request: the transport itself takes
+		// bytes that follow an answer for the next one if a request is waiting for
+		// the connection.
+		func(leftOver string) {
+			answer.Store(answerTo(func(n int, conn net.Conn, req *http.Request) bool {
+				text := "HTTP/1.1 200 OK\nContent-Length: " + strconv.Itoa(len(req.URL.Path)) + "\n\n" + req.URL.Path
+				return raw(text+leftOver, true)(n, conn, req)
+			}))
+			t.MaxConnsPerHost = 1 // requests wait for the connection of the one before
+			var wg sync.WaitGroup
+			wrong := make(chan string, 400)
+			for worker := range 4 {
+				wg.Go(func() {
+					for i := range 100 {
+						path := "/" + strconv.Itoa(worker) + "/" + strconv.Itoa(i)
+						if got, f := send(bg, "POST", path, nil); f == nil && got != path || f != nil && f.outcome != OutcomeNotRun {
+							wrong <- path + " got " + got
+						}
+					}
+				})
+			}
+			wg.Wait()
+			Expect(wrong).To(BeEmpty())
+		},
+		Entry("a whole answer", "HTTP/1.1 200 OK\nContent-Length: 4\n\nevil"),
+		Entry("an answer without a body", "HTTP/1.1 204 No Content\n\n"),
+		Entry("the beginning of a header", "HTTP/1.1 200 OK\nX-Evil: "),
+	)
+
+	It("does not use a connection whose answer is late", func() {
+		// Guards against an answer that reaches the request after the one that gave up.
+		release := make(chan struct{})
+		answer.Store(answerTo(func(n int, conn net.Conn, req *http.Request) bool {
+			if req.URL.Path == "/late" {
+				<-release
+				return raw("HTTP/1.1 200 OK\nContent-Length: 4\n\nlate", true)(n, conn, req)
+			}
+			return raw(whole, true)(n, conn, req)
+		}))
+		_, f := send(bg, "GET", "/first", nil)
+		Expect(f).To(BeNil())
+		short, cancel := context.WithTimeout(bg, 20*time.Millisecond)
+		defer cancel()
+		_, f = send(short, "GET", "/late", nil)
+		Expect(f.outcome).To(Equal(OutcomeUnknown))
+		close(release)
+		for range 10 {
+			got, f := send(bg, "GET", "/next", nil)
+			Expect(f).To(BeNil())
+			Expect(got).To(Equal("ab"))
+		}
+		Expect(dialled.Load()).To(BeEquivalentTo(2))
+	})
+
+	DescribeTable("sends a request once if a pooled connection breaks after it",
+		// Guards against the repetitions of the transport itself.
+		func(method string, b *body, h http.Header) {
+			answer.Store(answerTo(func(n int, conn net.Conn, req *http.Request) bool {
+				return n == 0 && req.URL.Path == "/first" && raw(whole, true)(n, conn, req)
+			}))
+			var wg sync.WaitGroup
+			for range 3 { // further idle connections, which a repetition could use
+				wg.Go(func() { _, _ = send(bg, "GET", "/first", nil) })
+			}
+			wg.Wait()
+			_, f := sendHeader(bg, method, "/once", b, h)
+			Expect(f.outcome).To(Equal(OutcomeUnknown))
+			Expect(f.slug).To(Equal("server-lost"))
+			Expect(arrivals("/once")).To(BeEquivalentTo(1))
+		},
+		Entry("safe method", "GET", nil, http.Header{}),
+		Entry("no body", "POST", nil, http.Header{}),
+		Entry("body", "POST", &body{prefix: []byte("ab"), length: 2}, http.Header{}),
+		Entry("idempotency key", "POST", &body{prefix: []byte("ab"), length: 2}, http.Header{headerIdempotency: {"k"}}),
+		Entry("other idempotency key", "POST", nil, http.Header{"X-Idempotency-Key": {"k"}}),
+	)
+
+	It("tells the truth when the server closes pooled connections at that moment", func() {
+		// Guards against requests that run twice, and against not-run for those that ran.
+		answer.Store(answerTo(func(n int, conn net.Conn, req *http.Request) bool {
+			raw(whole, true)(n, conn, req)
+			return n%3 != 1 // closes while the next request uses the connection
+		}))
+		var wg sync.WaitGroup
+		wrong := make(chan string, 1000)
+		for worker := range 4 {
+			wg.Go(func() {
+				for i := range 250 {
+					path := "/" + strconv.Itoa(worker) + "/" + strconv.Itoa(i)
+					_, f := sendHeader(bg, "GET", path, nil, http.Header{headerIdempotency: {"k"}})
+					n := arrivals(path)
+					if n > 1 || f == nil && n != 1 || f != nil && f.outcome == OutcomeNotRun && n != 0 {
+						wrong <- path
+					}
+				}
+			})
+		}
+		wg.Wait()
+		Expect(wrong).To(BeEmpty())
+	})
+
+	It("tells whether a failed request was sent, and ends with its context and deadline", func() {
+		// Guards against not-run for a request that may have run, and against
+		// connections that stay open for callers which have gone.
+		arrived, ended := make(chan struct{}, 2), make(chan struct{}, 2)
+		answer.Store(answerTo(func(_ int, conn net.Conn, _ *http.Request) bool {
+			arrived <- struct{}{}
+			_, _ = conn.Read(make([]byte, 1)) // until the client closes
+			ended <- struct{}{}
+			return false
+		}))
+		gone, cancel := context.WithCancel(bg)
+		go func() { <-arrived; cancel() }()
+		_, f := send(gone, "GET", "/x", nil)
+		Expect(f.outcome).To(Equal(OutcomeUnknown))
+		Expect(f.slug).To(Equal("caller-gone"))
+		Eventually(ended).Should(Receive())
+		_, f = send(gone, "GET", "/y", nil)
+		Expect(f.outcome).To(Equal(OutcomeNotRun))
+		short, cancel := context.WithTimeout(bg, 20*time.Millisecond)
+		defer cancel()
+		_, f = send(short, "GET", "/z", nil)
+		Expect(f.outcome).To(Equal(OutcomeUnknown))
+		Eventually(ended).Should(Receive())
+	})
+
+	It("passes on an answer that comes before the body was sent", func() {
+		// Guards against a deadlock of two sides that wait for each other.
+		answer.Store(answerTo(func(_ int, conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+			return true
+		}))
+		rest, end := io.Pipe()
+		got, f := send(bg, "POST", "/x", &body{rest: rest, length: -1})
+		Expect(f).To(BeNil())
+		Expect(got).To(Equal("no"))
+		Expect(end.Close()).To(Succeed())
+	})
+})
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -61,12 +61,14 @@
 	return values
 }
 
-// outgoing returns the headers to send, without the gateway's own. They are
-// those of the request itself, unless an earlier attempt may still be sending them.
+// outgoing returns the headers to send. The first attempt uses those of the
+// request itself. Later ones copy them, because the transport may still be
+// sending those of an attempt that it gave up.
 func (c *call) outgoing() http.Header {
-	if c.body != nil && c.body.rest != nil {
+	if c.sent {
 		return c.in.Header.Clone()
 	}
+	c.sent = true
 	return c.in.Header
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,9 +43,9 @@
 	Routes *route.Holder
 	// Authority is checked before each request to a server.
 	Authority route.Authority
-	// ForwardTransport sends requests to other instances. Errors other than
-	// *http1.Error count as "bytes may have left". It must neither compress nor
-	// repeat requests. Default: NewTransport without TLS.
+	// ForwardTransport sends requests to other instances. It is made by
+	// NewTransport; errors of any other kind of transport count as "bytes may
+	// have left", and it must not repeat requests. Default: NewTransport.
 	ForwardTransport http.RoundTripper
 	// ForwardScheme is "http" or "https". Default "http".
 	ForwardScheme string
@@ -98,7 +98,7 @@
 		c.ForwardScheme = "http"
 	}
 	if c.ForwardTransport == nil {
-		c.ForwardTransport = NewTransport(nil, forwardConnections)
+		c.ForwardTransport = NewTransport(forwardConnections)
 	}
 	return c
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -39,6 +39,16 @@
 	avoid    string // target that has refused the request
 
 	mayHaveRun bool // an attempt ended without a certain outcome
+
+	sent   bool               // an attempt has used the headers
+	cancel context.CancelFunc // ends the latest attempt; nil before the first
+}
+
+// end ends the latest attempt and stops its timer.
+func (c *call) end() {
+	if c.cancel != nil {
+		c.cancel()
+	}
 }
 
 // newCall reads what routing and admission need from a request.
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 
 	"github.com/boragegate/boragegate/admission"
 	"github.com/boragegate/boragegate/idempotency"
-	"github.com/boragegate/boragegate/internal/http1"
 	"github.com/boragegate/boragegate/internal/route"
 	"github.com/boragegate/boragegate/retry"
 	"github.com/boragegate/boragegate/table"
@@ -20,7 +20,7 @@
 	usage    usage
 
 	mu        sync.Mutex
-	transport *http1.Transport
+	transport *http.Transport
 	row       table.Row
 }
 
@@ -51,11 +51,18 @@
 		gate:      admission.NewGate(limitsOf(row), t.gateway.clock),
 		inflight:  newInflight(t.gateway.clock),
 		log:       idempotency.NewLog(t.gateway.cfg.Idempotency, t.gateway.clock),
-		transport: NewTransport(nil, max(row.Slots, row.Connections)),
+		transport: newTargetTransport(row),
 		usage:     usage{since: t.gateway.clock.Now()},
 	}
 }
 
+// newTargetTransport bounds the connections, also those that are being opened or closed.
+func newTargetTransport(row table.Row) *http.Transport {
+	t := NewTransport(max(row.Slots, row.Connections))
+	t.MaxConnsPerHost = row.Connections
+	return t
+}
+
 // update adopts a changed row.
 func (t *target) update(row table.Row) {
 	t.mu.Lock()
@@ -66,12 +73,12 @@
 	t.gate.SetLimits(limitsOf(row))
 	if t.row.Connections != row.Connections {
 		t.transport.CloseIdleConnections()
-		t.transport = NewTransport(nil, max(row.Slots, row.Connections))
+		t.transport = newTargetTransport(row)
 	}
 	t.row = row
 }
 
-func (t *target) pool() *http1.Transport {
+func (t *target) pool() *http.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.transport
--- /dev/null
+++ b/internal/gateway/tracked.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// Errors of writes that a tracked connection refuses.
+var (
+	errSealed      = errors.New("connection was given up before the request was written")
+	errUnsolicited = errors.New("connection was closed or has unread bytes before the request was written")
+)
+
+// reading tells what the connection's reader is doing.
+type reading uint8
+
+const (
+	readingNothing reading = iota // works on bytes that it has read
+	readingFirst                  // waits with an empty buffer
+	readingMore                   // waits with a part of an answer in its buffer
+)
+
+// trackedConn is a connection of an http.Transport. It proves whether a request
+// was written, and lets a request start only while the transport waits for an
+// answer with an empty buffer. Otherwise the transport would take bytes that
+// followed the previous answer for the beginning of the next one.
+type trackedConn struct {
+	net.Conn
+	raw   syscall.RawConn // nil if the connection cannot be peeked at
+	plain bool            // a failed write of 0 bytes has sent nothing
+
+	mu      sync.Mutex
+	changed sync.Cond
+	reading reading
+	pending bool // a request has the connection and has written nothing yet
+	used    bool // a request was written at some time
+	sealed  bool // nothing may be written any more
+	silent  bool // result of peekOnce
+	probe   [1]byte
+}
+
+func newTrackedConn(inner net.Conn) *trackedConn {
+	c := &trackedConn{Conn: inner, plain: true}
+	c.changed.L = &c.mu
+	if secured, ok := inner.(*tls.Conn); ok {
+		inner, c.plain = secured.NetConn(), false
+	}
+	if s, ok := inner.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	return c
+}
+
+// Read notes whether the reader's buffer is empty: only then does it offer all of it.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	state := readingMore
+	if len(p) >= readBuffer {
+		state = readingFirst
+	}
+	c.setReading(state)
+	n, err := c.Conn.Read(p)
+	c.setReading(readingNothing)
+	return n, err
+}
+
+func (c *trackedConn) setReading(r reading) {
+	c.mu.Lock()
+	c.reading = r
+	if c.pending {
+		c.changed.Broadcast()
+	}
+	c.mu.Unlock()
+}
+
+// Write sends bytes of a request unless the connection is sealed or not clean.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	first, err := c.begin()
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if first && n == 0 && err != nil && c.plain {
+		c.mu.Lock()
+		c.pending, c.sealed = true, true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// begin reports whether this is the first write of a request. It precedes the
+// write, so that the request counts as written while the write is running.
+func (c *trackedConn) begin() (first bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.pending && !c.sealed && c.reading == readingNothing {
+		c.changed.Wait()
+	}
+	if c.sealed {
+		return false, errSealed
+	}
+	if !c.pending {
+		return false, nil
+	}
+	if c.reading != readingFirst || c.used && !c.quiet() {
+		c.sealed = true
+		return false, errUnsolicited
+	}
+	c.pending, c.used = false, true
+	return true, nil
+}
+
+// quiet reports whether the connection is open and has nothing to read.
+func (c *trackedConn) quiet() bool {
+	if c.raw == nil {
+		return true
+	}
+	c.silent = false
+	// Control, unlike Read, does not wait for the pending read.
+	return c.raw.Control(c.peekOnce) == nil && c.silent
+}
+
+func (c *trackedConn) peekOnce(fd uintptr) {
+	_, _, err := syscall.Recvfrom(int(fd), c.probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.silent = err == syscall.EAGAIN //nolint:errorlint // the call returns plain errno values
+}
+
+// assign gives the connection to a request.
+func (c *trackedConn) assign() {
+	c.mu.Lock()
+	c.pending = true
+	c.mu.Unlock()
+}
+
+// written reports whether bytes of the request may have left.
+func (c *trackedConn) written() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.pending
+}
+
+// seal prevents all later writes, and reports whether bytes of the request may
+// have left before.
+func (c *trackedConn) seal() (written bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	c.changed.Broadcast()
+	return !c.pending
+}
+
+// Close seals and closes the connection.
+func (c *trackedConn) Close() error {
+	c.seal()
+	return c.Conn.Close()
+}
