--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -24,7 +24,7 @@
 		return
 	}
 	c.id = id
-	defer func() { c.body.release() }()
+	defer func() { c.end(); c.body.release() }()
 	resp, f := g.answer(w, c) //nolint:bodyclose // relay closes it
 	if f != nil {
 		g.refuse(w, r, c.body, id, started, f)
@@ -77,7 +77,7 @@
 		return
 	}
 	c.id = id
-	defer func() { c.body.release() }()
+	defer func() { c.end(); c.body.release() }()
 	if c.body, f = g.readBody(w, c); f != nil {
 		g.refuseForwarded(w, r, c.body, id, f)
 		return
