Encode assignments, deltas and load reports compactly

Cause: at 65,536 partitions the stored assignment took 1.047 MB, over the limit of 1 MB, the delta of a zone loss 187 KB and a load report 17 B a partition.

Change: Assignment has forms of its own for the store (JSON envelope with owners and epochs as base64 runs) and for messages; Delta groups changes by target with varint differences; LoadReport carries partition differences and 4-byte loads. Decoders check all content, return errors that wrap placement.ErrMalformed and allocate in proportion to the input.

--- a/ownership/event.go
+++ b/ownership/event.go
@@ -78,19 +78,21 @@
 func (HealthObserved) event()   {}
 func (StopRequested) event()    {}
 
-// LoadReport is the load of one target over the last interval.
+// LoadReport is the load of one target over the last interval. Its form in
+// messages is in loadencoding.go.
 type LoadReport struct {
-	Target string `msgpack:"t"`
+	Target string
 	// Load is requests per second weighted by their time in a slot, by partition.
-	Partitions []PartitionLoad `msgpack:"p"`
+	Partitions []PartitionLoad
 	// HotKeys are the keys with the largest load, at most 32.
-	HotKeys []KeyLoad `msgpack:"k"`
+	HotKeys []KeyLoad
 }
 
-// PartitionLoad is the load of one partition in slot-seconds per second.
+// PartitionLoad is the load of one partition in slot-seconds per second. A
+// message carries it as a 4-byte float.
 type PartitionLoad struct {
-	Partition int     `msgpack:"p"`
-	Load      float64 `msgpack:"l"`
+	Partition int
+	Load      float64
 }
 
 // KeyLoad is the load of one key in slot-seconds per second.
--- /dev/null
+++ b/ownership/loadencoding_test.go
@@ -0,0 +1,64 @@
+package ownership
+
+import (
+	"math"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/placement"
+)
+
+// loadPrecision is the relative error of a 4-byte float.
+const loadPrecision = 1.0 / (1 << 24)
+
+var _ = Describe("load report encoding", func() {
+	It("returns partitions in their order and loads to the precision of 4 bytes", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			r := LoadReport{Target: rapid.String().Draw(t, "target"), HotKeys: []KeyLoad{{Key: "k", Partition: 3, Load: 0.1}}}
+			for _, p := range rapid.SliceOf(rapid.IntRange(0, placement.MaxPartitions-1)).Draw(t, "partitions") {
+				r.Partitions = append(r.Partitions, PartitionLoad{Partition: p, Load: rapid.Float64Range(0, 1e6).Draw(t, "load")})
+			}
+			b, err := msgpack.Marshal(r)
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			var again LoadReport
+			NewWithT(t).Expect(msgpack.Unmarshal(b, &again)).To(Succeed())
+			NewWithT(t).Expect(again.Partitions).To(HaveLen(len(r.Partitions)))
+			for i, p := range r.Partitions {
+				// Loads below the smallest normal 4-byte float lose more digits.
+				NewWithT(t).Expect(again.Partitions[i].Load).To(BeNumerically("~", p.Load, p.Load*loadPrecision+math.SmallestNonzeroFloat32))
+				again.Partitions[i].Load = p.Load
+			}
+			NewWithT(t).Expect(again).To(Equal(r))
+		})
+	})
+
+	It("neither crashes on hostile input nor returns more loads than its bytes hold", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			packed := rapid.SliceOf(rapid.SampledFrom([]byte{0, 1, 0x3f, 0x40, 0x7f, 0x80, 0xff})).Draw(t, "partitions")
+			b, _ := msgpack.Marshal(map[string]any{"p": packed})
+			b = b[:rapid.IntRange(0, len(b)).Draw(t, "length")]
+			var r LoadReport
+			_ = msgpack.Unmarshal(b, &r)
+			NewWithT(t).Expect(len(r.Partitions) * (1 + loadBytes)).To(BeNumerically("<=", len(packed)))
+		})
+	})
+
+	DescribeTable("refuses content out of range with a typed error and keeps the report",
+		func(p ...PartitionLoad) {
+			b, err := msgpack.Marshal(LoadReport{Partitions: p})
+			Expect(err).NotTo(HaveOccurred())
+			r := LoadReport{Target: "unchanged"}
+			Expect(msgpack.Unmarshal(b, &r)).To(MatchError(placement.ErrMalformed))
+			Expect(r).To(Equal(LoadReport{Target: "unchanged"}))
+		},
+		Entry("partition below 0", PartitionLoad{Partition: -1}),
+		Entry("partition above the largest", PartitionLoad{Partition: placement.MaxPartitions}),
+		Entry("difference that overflows", PartitionLoad{Partition: 1}, PartitionLoad{Partition: math.MinInt}),
+		Entry("negative load", PartitionLoad{Load: -1}),
+		Entry("load that is not a number", PartitionLoad{Load: math.NaN()}),
+		Entry("load beyond 4 bytes", PartitionLoad{Load: math.MaxFloat64}),
+	)
+})
--- a/placement/assignment.go
+++ b/placement/assignment.go
@@ -23,17 +23,18 @@
 
 // Assignment names the owner and the epoch of every partition of a service.
 // An Assignment that has been published is not changed; Apply returns a new one.
+// Its forms in the store and in messages are in encoding_assignment.go.
 type Assignment struct {
-	Service string `json:"service" msgpack:"s"`
+	Service string
 	// Version rises with every change. Its upper 32 bits are the planner's term.
-	Version uint64 `json:"version" msgpack:"v"`
+	Version uint64
 	// Targets are the targets that Owner refers to by index. Names are appended
 	// and never reordered while any partition refers to them.
-	Targets []string `json:"targets" msgpack:"t"`
+	Targets []string
 	// Owner is the index in Targets of each partition's owner, or NoOwner.
-	Owner []uint16 `json:"owner" msgpack:"o"`
+	Owner []uint16
 	// Epoch is the Version that last changed each partition's owner.
-	Epoch []uint64 `json:"epoch" msgpack:"e"`
+	Epoch []uint64
 }
 
 // NewAssignment returns an assignment of n partitions without owners.
@@ -71,16 +72,17 @@
 
 // Change gives a partition a new owner; an empty Target takes the owner away.
 type Change struct {
-	Partition int    `json:"partition" msgpack:"p"`
-	Target    string `json:"target" msgpack:"t"`
+	Partition int    `json:"partition"`
+	Target    string `json:"target"`
 }
 
-// Delta is a step from one version of an assignment to the next.
+// Delta is a step from one version of an assignment to the next, with at most
+// one change of a partition. Its form in messages is in encoding_delta.go.
 type Delta struct {
-	Service string   `json:"service" msgpack:"s"`
-	From    uint64   `json:"from" msgpack:"f"`
-	To      uint64   `json:"to" msgpack:"v"`
-	Changes []Change `json:"changes" msgpack:"c"`
+	Service string   `json:"service"`
+	From    uint64   `json:"from"`
+	To      uint64   `json:"to"`
+	Changes []Change `json:"changes"`
 }
 
 // Apply returns the assignment after the delta. It returns false if the delta
--- /dev/null
+++ b/placement/encoding_delta.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// packedDelta is the form of a Delta in messages.
+type packedDelta struct {
+	Service string `msgpack:"s"`
+	From    uint64 `msgpack:"f"`
+	To      uint64 `msgpack:"v"`
+	Targets names  `msgpack:"t"`
+	// Changes has for each of Targets the number of its partitions and these as
+	// signed varint differences, the first one from 0.
+	Changes Packed `msgpack:"c"`
+}
+
+// EncodeMsgpack writes the form for messages. It groups the changes by target,
+// in the order in which targets first appear, so that Apply gives the same
+// result, order of Targets included.
+func (d Delta) EncodeMsgpack(e *msgpack.Encoder) error {
+	w := packedDelta{Service: d.Service, From: d.From, To: d.To}
+	index := map[string]int{}
+	var groups [][]int
+	for _, c := range d.Changes {
+		i, ok := index[c.Target]
+		if !ok {
+			i = len(groups)
+			index[c.Target] = i
+			w.Targets, groups = append(w.Targets, c.Target), append(groups, nil)
+		}
+		groups[i] = append(groups[i], c.Partition)
+	}
+	for _, ps := range groups {
+		w.Changes = binary.AppendUvarint(w.Changes, uint64(len(ps)))
+		last := 0
+		for _, p := range ps {
+			w.Changes = binary.AppendVarint(w.Changes, int64(p)-int64(last))
+			last = p
+		}
+	}
+	return e.Encode(&w)
+}
+
+// DecodeMsgpack reads the form for messages; Changes come grouped by target.
+// Errors wrap ErrMalformed and leave the delta unchanged.
+func (d *Delta) DecodeMsgpack(dec *msgpack.Decoder) error {
+	var w packedDelta
+	if err := dec.Decode(&w); err != nil {
+		return fmt.Errorf("%w: delta: %w", ErrMalformed, err)
+	}
+	if w.From > w.To {
+		return malformed("delta: from %d to %d", w.From, w.To)
+	}
+	if err := w.Targets.check(); err != nil {
+		return fmt.Errorf("delta: %w", err)
+	}
+	changes, err := w.changes()
+	if err != nil {
+		return fmt.Errorf("delta: %w", err)
+	}
+	*d = Delta{Service: w.Service, From: w.From, To: w.To, Changes: changes}
+	return nil
+}
+
+// changes refuses a partition that is out of range or changes twice: the
+// result would depend on an order that the form does not keep.
+func (w packedDelta) changes() ([]Change, error) {
+	var seen [MaxPartitions / 64]uint64
+	var changes []Change
+	b := []byte(w.Changes)
+	for _, target := range w.Targets {
+		count, err := uvarint(&b)
+		if err != nil {
+			return nil, err
+		}
+		if count == 0 || count > uint64(len(b)) {
+			return nil, malformed("%d changes in %d bytes", count, len(b))
+		}
+		partition := int64(0)
+		for range count {
+			step, n := binary.Varint(b)
+			if n <= 0 {
+				return nil, malformed("varint cut off or too long")
+			}
+			b = b[n:]
+			if partition += step; partition < 0 || partition >= MaxPartitions {
+				return nil, malformed("partition %d", partition)
+			}
+			if seen[partition/64]&(1<<(partition%64)) != 0 {
+				return nil, malformed("partition %d twice", partition)
+			}
+			seen[partition/64] |= 1 << (partition % 64)
+			changes = append(changes, Change{Partition: int(partition), Target: target})
+		}
+	}
+	if len(b) > 0 {
+		return nil, malformed("%d bytes after the changes", len(b))
+	}
+	return changes, nil
+}
