Encode scattered epochs without hash maps

Cause: an assignment with an epoch of its own for each partition took 34 to 42 ms to encode as JSON, against 6 ms in the plain form, mostly for a hash map. Change: sort the distinct epochs and search them.

--- a/placement/encoding_runs.go
+++ b/placement/encoding_runs.go
@@ -82,27 +82,20 @@
 // these in falling order as varint differences that start at the version, and
 // runs of indexes into them.
 func packEpochs(version uint64, epochs []uint64) Packed {
-	index := map[uint64]uint64{}
-	var distinct []uint64
-	for i, e := range epochs {
-		if i > 0 && e == epochs[i-1] {
-			continue
-		}
-		if _, ok := index[e]; !ok {
-			index[e] = 0
-			distinct = append(distinct, e)
-		}
-	}
+	distinct := slices.Clone(epochs)
 	slices.Sort(distinct)
-	slices.Reverse(distinct)
-	b := binary.AppendUvarint(nil, uint64(len(distinct)))
+	distinct = slices.Compact(distinct)
+	count := len(distinct)
+	b := binary.AppendUvarint(nil, uint64(count))
 	last := version
-	for i, e := range distinct {
-		index[e] = uint64(i) //nolint:gosec // not negative
+	for _, e := range slices.Backward(distinct) {
 		b = binary.AppendUvarint(b, last-e)
 		last = e
 	}
-	return appendRuns(b, len(epochs), func(i int) uint64 { return index[epochs[i]] })
+	return appendRuns(b, len(epochs), func(i int) uint64 {
+		at, _ := slices.BinarySearch(distinct, epochs[i])
+		return uint64(count - 1 - at) //nolint:gosec // at is below count
+	})
 }
 
 // unpackEpochs reads the packed form into epochs.
