--- a/examples/backend/server/server.go
+++ b/examples/backend/server/server.go
@@ -5,17 +5,19 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/boragegate/boragegate/lease"
 )
 
+// bootLength is the length of a boot identifier: 60 random bits in base 32.
+const bootLength = 12
+
 // Config holds the settings of a server.
 type Config struct {
 	// Service and Target are the names in the operators' table.
@@ -27,6 +29,9 @@
 	QueueLimit int
 	// WorkTime is the time that a request takes. Default 1 ms.
 	WorkTime time.Duration
+	// IgnoreGrants runs every request, as a server of a service with
+	// checks_grants false does.
+	IgnoreGrants bool
 	// Observe, if set, is called for every request that took effect.
 	Observe func(Effect)
 }
@@ -75,7 +80,7 @@
 	}
 	return &Server{
 		cfg:    cfg,
-		boot:   uuid.NewString(),
+		boot:   rand.Text()[:bootLength],
 		start:  time.Now(),
 		slots:  make(chan struct{}, cfg.Slots),
 		grants: newGrantSet(),
@@ -111,7 +116,9 @@
 // Serve serves on a listener, in goroutines of its own, until Stop or Kill.
 func (s *Server) Serve(ln net.Listener) {
 	s.ln = ln
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, Protocols: new(http.Protocols)}
+	s.http.Protocols.SetHTTP1(true)
+	s.http.Protocols.SetUnencryptedHTTP2(true)
 	go func() {
 		if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			_ = ln.Close()
@@ -134,3 +141,10 @@
 	defer s.mu.Unlock()
 	return len(s.keys)
 }
+
+// Running returns the number of requests that have a slot.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
