Measure unavailable times and control costs with one command

go test ./internal/daemon -run TestMeasure -measure -v measures, off by default, steady control costs at several sizes, the cost of a hand-over and a take-over, and unavailable times after losses of a server, an instance, a rack and a zone.

The test of services without grant checks now moves the keys to another server while the isolated instance is still asked; before, it did not notice a controller that forwards out of contact.

--- a/internal/daemon/loss_test.go
+++ b/internal/daemon/loss_test.go
@@ -15,13 +15,7 @@
 	l := what(s)
 	stopLoad := s.load()
 	keys := s.keysOf("route", s.affected("route", l), 2)
-	var entries []string
-	for _, n := range s.live() {
-		if len(l.instances) == 0 || n.id != l.instances[0] && n.zone != s.node(l.instances[0]).zone {
-			entries = append(entries, n.CallerAddress())
-		}
-	}
-	stopProbe := s.probe("route", keys, entries)
+	stopProbe := s.probe("route", keys, s.entriesAfter(l))
 	time.Sleep(300 * time.Millisecond)
 	at := s.inflict(l)
 	time.Sleep(2 * unavailableLimit)
--- /dev/null
+++ b/internal/daemon/measure_test.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/boragegate/boragegate/platform/memory"
+)
+
+var (
+	measure     = flag.Bool("measure", false, "measure unavailable times and control costs")
+	measureRuns = flag.Int("measure.runs", 20, "losses of each kind")
+)
+
+const (
+	// measureWindow is the time over which steady costs are measured.
+	measureWindow = 8 * time.Second
+	// measureSystems is the number of systems in which losses are measured at a time.
+	measureSystems = 3
+	// maxProbed bounds the keys that clients ask for in one system.
+	maxProbed = 4
+)
+
+// current is the system of docs/design.md: 8 instances in 4 zones and 31 targets,
+// or a smaller one of the same kind.
+func current(instances, keyed, others int) shape {
+	sh := shape{instances: instances, zones: min(4, instances), targets: map[string]int{"route": keyed}, partitions: 1024}
+	if others > 0 {
+		sh.targets["booking"], sh.targets["map"], sh.undivided = others, others, []string{"map"}
+	}
+	return sh
+}
+
+// TestMeasure measures with one command and is off by default:
+// go test ./internal/daemon -run TestMeasure -measure -v
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Skip("off without -measure")
+	}
+	RegisterTestingT(t)
+	t.Run("steady", measureSteady)
+	t.Run("changes", measureChanges)
+	t.Run("losses", measureLosses)
+}
+
+// cost is what control has used up to a moment.
+type cost struct {
+	at          time.Time
+	peer, back  int64
+	store       memory.Counts
+	cpu         time.Duration
+	read, write int64
+}
+
+// meter counts the bytes on the connections of all servers.
+type meter struct{ bytes atomic.Int64 }
+
+func (m *meter) listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp", loopback)
+	return countingListener{ln, m}, err
+}
+
+type countingListener struct {
+	net.Listener
+	m *meter
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.m}, err
+}
+
+type countingConn struct {
+	net.Conn
+	m *meter
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.m.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.m.bytes.Add(int64(n))
+	return n, err
+}
+
+func (s *system) cost(m *meter) cost {
+	c := cost{at: time.Now(), back: m.bytes.Load(), store: s.store.Counts()}
+	c.read, c.write = c.store.Reads(), c.store.Writes()
+	for _, n := range s.live() {
+		for _, name := range []string{"peer.bytes_sent", "peer.bytes_received"} {
+			c.peer += metrics.GetOrRegisterCounter(name, n.metrics).Count()
+		}
+	}
+	var u syscall.Rusage
+	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
+	c.cpu = time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return c
+}
+
+// rates are the costs for each instance and second.
+type rates struct{ peer, back, reads, writes, cpu float64 }
+
+func (s *system) steady(m *meter) rates {
+	time.Sleep(2 * time.Second) // the last hand-overs of the start
+	a := s.cost(m)
+	time.Sleep(measureWindow)
+	b := s.cost(m)
+	per := float64(len(s.live())) * b.at.Sub(a.at).Seconds()
+	return rates{
+		peer: float64(b.peer-a.peer) / per, back: float64(b.back-a.back) / per,
+		reads: float64(b.read-a.read) / per, writes: float64(b.write-a.write) / per,
+		cpu: (b.cpu - a.cpu).Seconds() / per,
+	}
+}
+
+func measureSteady(t *testing.T) {
+	for _, size := range []struct{ instances, keyed, others int }{{8, 15, 8}, {5, 15, 8}, {3, 15, 8}, {8, 15, 0}, {8, 8, 0}} {
+		m := &meter{}
+		sh := current(size.instances, size.keyed, size.others)
+		sh.listen = m.listen
+		t.Run(fmt.Sprintf("%d instances %d targets", size.instances, size.keyed+2*size.others), func(t *testing.T) {
+			RegisterTestingT(t)
+			s := launch(sh, t.Cleanup)
+			r := s.steady(m)
+			t.Logf("per instance: peer %.0f B/s sent+received, servers %.0f B/s, store %.2f reads/s %.2f writes/s, CPU %.2f%% of a core (servers and store included)",
+				r.peer, r.back, r.reads, r.writes, 100*r.cpu)
+		})
+	}
+}
+
+// measureChanges measures what a planned hand-over and a take-over of one
+// target cost beyond the steady costs, in all instances together.
+func measureChanges(t *testing.T) {
+	RegisterTestingT(t)
+	m := &meter{}
+	sh := current(8, 15, 8)
+	sh.listen = m.listen
+	s := launch(sh, t.Cleanup)
+	base := s.steady(m)
+	report := func(name, target string, change func()) {
+		moved := len(s.assignment("route").PartitionsOf(target))
+		a := s.cost(m)
+		change()
+		Eventually(func() []int { return s.assignment("route").PartitionsOf(target) }, "30s", "1ms").Should(BeEmpty())
+		took := time.Since(a.at)
+		time.Sleep(time.Second)
+		b := s.cost(m)
+		idle := 8 * b.at.Sub(a.at).Seconds()
+		t.Logf("%s of %d partitions in %s: peer %.0f B, servers %.0f B, store %.0f reads %d writes",
+			name, moved, took.Round(time.Millisecond), float64(b.peer-a.peer)-idle*base.peer, float64(b.back-a.back)-idle*base.back,
+			float64(b.read-a.read)-idle*base.reads, b.write-a.write)
+	}
+	report("planned hand-over", "r2", func() {
+		_, err := s.apply(s.live()[0], drain("route/r2"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+	time.Sleep(3 * time.Second)
+	report("take-over", "r3", func() { s.servers["route/r3"].Kill() })
+}
+
+func measureLosses(t *testing.T) {
+	for _, l := range []struct {
+		name string
+		of   func(*system) loss
+	}{
+		{"one server", func(*system) loss { return loss{targets: []string{"route/r2"}} }},
+		{"one instance", func(s *system) loss { return loss{instances: []string{s.controllerOf("route/r2")}} }},
+		{"one rack", func(s *system) loss { return loss{targets: s.targetsIn(zone(1))[:2]} }},
+		{"one zone", func(s *system) loss { return s.inZone(zone(1)) }},
+	} {
+		t.Run(l.name, func(t *testing.T) {
+			RegisterTestingT(t)
+			var mu sync.Mutex
+			var all []time.Duration
+			free := make(chan struct{}, measureSystems)
+			var wg sync.WaitGroup
+			for range *measureRuns {
+				free <- struct{}{}
+				wg.Go(func() {
+					defer func() { <-free }()
+					times := lossOnce(l.of)
+					mu.Lock()
+					defer mu.Unlock()
+					all = append(all, times...)
+				})
+			}
+			wg.Wait()
+			slices.Sort(all)
+			never := 0
+			for len(all) > 0 && all[0] < 0 {
+				never, all = never+1, all[1:]
+			}
+			t.Logf("unavailable after the loss of %s: min %s median %s max %s (%d keys, %d runs, %d keys not served within 2 s)",
+				l.name, round(all[0]), round(all[len(all)/2]), round(all[len(all)-1]), len(all), *measureRuns, never)
+		})
+	}
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func lossOnce(of func(*system) loss) []time.Duration {
+	var stop func()
+	s := launch(current(8, 15, 8), func(f func()) { stop = f })
+	defer func() { stop() }()
+	l := of(s)
+	keys := s.keysOf("route", s.affected("route", l), 1)
+	entries := s.entriesAfter(l)
+	stopProbe := s.probe("route", keys[:min(len(keys), maxProbed)], entries)
+	time.Sleep(300 * time.Millisecond)
+	at := s.inflict(l)
+	time.Sleep(2 * unavailableLimit)
+	var times []time.Duration
+	for _, d := range unavailable(at, stopProbe()) {
+		times = append(times, d)
+	}
+	return times
+}
--- a/internal/daemon/once_test.go
+++ b/internal/daemon/once_test.go
@@ -77,17 +77,30 @@
 			entries = append(entries, n.CallerAddress())
 		}
 	}
-	stopProbe := s.probe("route", s.keysOf("route", []string{"r1"}, 2), entries)
+	keys := s.keysOf("route", []string{"r1"}, 2)
+	stopProbe := s.probe("route", keys, entries)
+	stopIsolated := s.probe("route", keys, []string{isolated.CallerAddress()})
 	at := time.Now()
 	s.network.isolate(isolated.id, true)
-	time.Sleep(2 * unavailableLimit)
-	for key, d := range unavailable(at, stopProbe()) {
+	time.Sleep(unavailableLimit)
+	probed := stopProbe()
+	for key, d := range unavailable(at, probed) {
 		Expect(d).To(And(BeNumerically(">=", 0), BeNumerically("<=", unavailableLimit)), key)
 	}
+	// The keys move to another server while the isolated instance is still asked for them.
+	other := s.node(s.controllerOf("route/r2"))
+	if other == isolated {
+		other = s.node(s.controllerOf("route/r3"))
+	}
+	_, err := s.apply(other, drain("route/r1"))
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() []int { return s.assignment("route").PartitionsOf("r1") }, "10s", "5ms").Should(BeEmpty())
+	time.Sleep(500 * time.Millisecond)
+	probed = append(probed, stopIsolated()...)
 	s.network.isolate(isolated.id, false)
 	s.awaitSettled()
 	s.servers["route/r2"].Kill()
 	Eventually(func() []int { return s.assignment("route").PartitionsOf("r2") }, "10s", "20ms").Should(BeEmpty())
 	time.Sleep(500 * time.Millisecond)
-	s.verify(stopLoad())
+	s.verify(append(stopLoad(), probed...))
 })
--- a/internal/daemon/probe_test.go
+++ b/internal/daemon/probe_test.go
@@ -84,6 +84,17 @@
 	return names
 }
 
+// entriesAfter returns the callers' addresses of the instances that a loss spares.
+func (s *system) entriesAfter(l loss) []string {
+	var list []string
+	for _, n := range s.live() {
+		if !slices.Contains(l.instances, n.id) {
+			list = append(list, n.CallerAddress())
+		}
+	}
+	return list
+}
+
 // inZone is the loss of all instances and servers of a zone.
 func (s *system) inZone(zone string) loss {
 	l := loss{targets: s.targetsIn(zone)}
--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -48,6 +48,8 @@
 	instances, zones int
 	// targets by service.
 	targets map[string]int
+	// undivided services have no keys and need no leases.
+	undivided []string
 	// workTime is the time that a server takes for a request.
 	workTime time.Duration
 	// unchecked makes all services checks_grants false.
@@ -80,7 +82,14 @@
 	store    *cutStore
 }
 
+// start starts a system that ends with the spec.
 func start(sh shape) *system {
+	GinkgoHelper()
+	return launch(sh, func(stop func()) { DeferCleanup(stop) })
+}
+
+// launch starts a system and registers the function that ends it.
+func launch(sh shape, cleanup func(stop func())) *system {
 	GinkgoHelper()
 	s := &system{shape: sh, store: memory.New(memory.Options{}), servers: map[string]*server.Server{}}
 	if s.shape.partitions == 0 {
@@ -89,7 +98,7 @@
 	var err error
 	s.policy, err = boragegate.LoadAs[standard.PolicyMaker](context.Background(), standard.DefaultPlacement, nil)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(s.stop)
+	cleanup(s.stop)
 	s.table = &table.Table{}
 	for _, name := range slices.Sorted(maps.Keys(sh.targets)) {
 		s.addService(name, sh.targets[name])
@@ -108,7 +117,7 @@
 
 func (s *system) addService(name string, targets int) {
 	service := table.Service{
-		Name: name, Divided: true, Partitions: s.shape.partitions, ChecksGrants: !s.shape.unchecked,
+		Name: name, Divided: !slices.Contains(s.shape.undivided, name), Partitions: s.shape.partitions, ChecksGrants: !s.shape.unchecked,
 		Prefer: table.Availability, MaxRequestTime: table.Duration(time.Second), DrainAfter: table.Duration(drainAfter),
 	}
 	if name == "order" {
@@ -253,7 +262,7 @@
 		}
 	}
 	for service := range s.shape.targets {
-		if held[service] != s.shape.partitions {
+		if !slices.Contains(s.shape.undivided, service) && held[service] != s.shape.partitions {
 			return fmt.Sprintf("%d of %d partitions of %s are held", held[service], s.shape.partitions, service)
 		}
 	}
