Prove that a stop waits for requests that outlast the hand-over

The rolling replacement did not notice a stop without the wait for requests in flight, because its requests end within the hand-over.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -28,6 +30,31 @@
 		s.verify(results)
 	})
 
+	// Guards against a stop that ends once everything is handed over, although a
+	// request that began before still runs (P7).
+	It("waits for a request that outlasts the hand-over", func() {
+		s := start(shape{instances: 3, zones: 3, targets: map[string]int{"route": 3}, workTime: 800 * time.Millisecond})
+		n := s.live()[0]
+		c := promise.NewClients(nil)
+		keys := s.keysOf("route", []string{"r1", "r2", "r3"}, 1) // one at least is forwarded
+		results := make([]promise.Result, len(keys))
+		var wg sync.WaitGroup
+		for i, key := range keys {
+			wg.Go(func() {
+				results[i] = c.Send(context.Background(), n.CallerAddress(), promise.Result{Service: "route", Key: key, Method: http.MethodPut})
+			})
+		}
+		Eventually(func() int {
+			return s.servers["route/r1"].Running() + s.servers["route/r2"].Running() + s.servers["route/r3"].Running()
+		}, "2s", "1ms").Should(Equal(len(keys)))
+		Expect(s.stopInstance(n.id)).To(Succeed())
+		wg.Wait()
+		for _, r := range results {
+			Expect(r.Outcome).To(Equal(promise.OutcomeRun), r.Problem)
+		}
+		s.verify(results)
+	})
+
 	// Guards against new work at a drained server after drain_after (P6), and
 	// against a drain that cuts off what runs (P7).
 	It("of a drained server cuts off no request, and the server gets no new work in time", func() {
