--- a/internal/tablesync/exchange.go
+++ b/internal/tablesync/exchange.go
@@ -120,11 +120,14 @@
 			f.request(m)
 		}
 	}
-	if t := f.Table(); u.Stamp != 0 && (u.Version == 0 || t != nil && t.Version >= u.Version) {
+	asked := lease.Instant(u.Stamp) //nolint:gosec // checked below
+	if u.Stamp == 0 || asked < 0 || asked > f.now() {
+		return
+	}
+	if t := f.Table(); u.Version == 0 || t != nil && t.Version >= u.Version {
 		f.answeredBy(from)
 	}
-	asked := lease.Instant(u.Stamp) //nolint:gosec // checked below
-	if u.Stamp == 0 || u.ConfirmedAgeMS < 0 || asked < 0 || asked > f.now() {
+	if u.ConfirmedAgeMS < 0 {
 		return
 	}
 	f.confirm(u.Version, asked-time.Duration(u.ConfirmedAgeMS)*time.Millisecond)
