Send assignment versions in acks only when they change

Change: an ack carries the versions if they changed since the last ack to that member or a member joined, and else in every eighth ack.

--- a/ownership/cell.go
+++ b/ownership/cell.go
@@ -42,6 +42,7 @@
 	old := c.cell
 	c.chain.add(cell.Version)
 	c.cell, c.cellProvisional, c.viewDirty = cell, provisional, true
+	clear(c.acksSent) // new members know nothing yet
 	if c.cellProposal != nil && c.cellProposal.Version <= cell.Version {
 		c.cellProposal = nil
 	}
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -33,6 +33,7 @@
 	contact   *membership.Tracker
 	nextBeat  lease.Instant
 	lastStamp map[string]lease.Stamp // newest heartbeat of each member, to acknowledge again
+	acksSent  map[string]ackSent
 	returning bool                   // contact was lost and is not proven with the newest record
 	currentAt lease.Instant          // last moment without news of a newer record
 	until     lease.Instant          // last ExtendContact
@@ -65,7 +66,7 @@
 	cfg.Self.Incarnation = cfg.Incarnation
 	c := &Core{
 		cfg: cfg, rows: map[string]table.Row{}, instances: map[string]platform.InstanceState{},
-		lastStamp: map[string]lease.Stamp{}, terms: map[string]uint64{}, services: map[string]*serviceState{},
+		lastStamp: map[string]lease.Stamp{}, acksSent: map[string]ackSent{}, terms: map[string]uint64{}, services: map[string]*serviceState{},
 		ops: map[uint64]*slot{}, held: map[string]*holding{}, returning: true,
 		contact: membership.New(membership.Config{
 			Self: cfg.Self.ID, ContactWindow: cfg.ContactWindow, SilenceAfter: cfg.SilenceAfter,
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -163,7 +163,8 @@
 	Silent []string `msgpack:"l,omitempty"`
 	// SilentFor is the time for which nothing was heard of each of them.
 	SilentFor []time.Duration `msgpack:"f,omitempty"`
-	// Assignments has the highest version of each service's assignment that the sender has.
+	// Assignments has the highest version of each service's assignment that the
+	// sender has; absent if they are as in an earlier ack.
 	Assignments map[string]uint64 `msgpack:"a,omitempty"`
 }
 
--- a/ownership/heartbeat.go
+++ b/ownership/heartbeat.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"time"
 
 	"github.com/boragegate/boragegate/lease"
@@ -93,7 +94,7 @@
 	}
 	if ack && c.now >= c.joining.quiet {
 		c.lastStamp[from] = m.Stamp
-		c.send(from, c.ack(m.Stamp))
+		c.send(from, c.brief(from, c.ack(m.Stamp)))
 	}
 }
 
@@ -112,6 +113,29 @@
 	return a
 }
 
+// fullAckEvery is the number of acks after which one carries the assignment
+// versions although they did not change, in case the earlier one was lost.
+const fullAckEvery = 8
+
+// ackSent is what a member was told last of the assignments.
+type ackSent struct {
+	versions map[string]uint64
+	left     int // acks until the versions are sent again
+}
+
+// brief leaves out the assignment versions that the member was told before. They
+// are half of the bytes of an ack with three services.
+func (c *Core) brief(to string, a HeartbeatAck) HeartbeatAck {
+	last := c.acksSent[to]
+	if last.left > 0 && maps.Equal(last.versions, a.Assignments) {
+		c.acksSent[to] = ackSent{last.versions, last.left - 1}
+		a.Assignments = nil
+		return a
+	}
+	c.acksSent[to] = ackSent{a.Assignments, fullAckEvery - 1}
+	return a
+}
+
 // highestCell is the highest version that this member has acknowledged.
 func (c *Core) highestCell() uint64 {
 	if c.cellProposal != nil {
@@ -136,7 +160,10 @@
 	}
 	c.contact.Acked(c.now, from, lease.Instant(m.Stamp), m.CellVersion, silences(m)) //nolint:gosec // checked against now by the tracker
 	for _, s := range c.order {
-		v := m.Assignments[s.name]
+		v, told := m.Assignments[s.name]
+		if !told {
+			continue
+		}
 		if v > s.version() && c.now >= s.askAt {
 			s.askAt = c.now + c.cfg.HeartbeatInterval
 			c.send(from, AssignmentRequest{Service: s.name})
