--- a/internal/daemon/cut_test.go
+++ b/internal/daemon/cut_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -76,13 +75,10 @@
 	old := s.remove("i3")
 	old.Kill()
 	n := s.add("i3", zone(2))
-	var mu sync.Mutex
-	var oldest uint64
+	oldest := version
 	watch := func() bool {
-		mu.Lock()
-		defer mu.Unlock()
 		ok, _ := n.Ready()
-		if v := n.inForce(); ok && (oldest == 0 || v < oldest) {
+		if v := n.inForce(); ok && v < oldest {
 			oldest = v
 		}
 		return ok && n.inForce() == version
--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -217,8 +217,8 @@
 	return list
 }
 
-// calm is the time without a change of the cell after which it counts as settled:
-// the planner hands over one controller after the other.
+// calm is the time without a change of the cell and the assignments after which
+// they count as settled: the planner makes one change after the other.
 const calm = 1500 * time.Millisecond
 
 // awaitSettled waits until all instances are members, controllers are spread and
@@ -232,11 +232,15 @@
 			since = time.Time{}
 			return missing
 		}
-		if v := s.live()[0].View().Cell.Version; v != version || since.IsZero() {
+		v := s.live()[0].View().Cell.Version
+		for service := range s.shape.targets {
+			v += s.assignment(service).Version
+		}
+		if v != version || since.IsZero() {
 			version, since = v, time.Now()
 		}
 		if time.Since(since) < calm {
-			return "the cell changed lately"
+			return "the cell or an assignment changed lately"
 		}
 		return ""
 	}, startTimeout, "20ms").Should(BeEmpty())
