--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,7 +18,7 @@
 // newAttempt returns an attempt and its context, which ends with the deadline of
 // the call, with the caller's connection, and when the call ends.
 func newAttempt(c *call) (*attempt, context.Context) {
-	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
+	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	c.cancel = cancel
 	a := &attempt{cancel: cancel}
 	a.trace.GotConn = a.gotConn
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,7 +59,7 @@
 }
 
 // Deadline returns the request's deadline.
-func (c deadlineContext) Deadline() (time.Time, bool) { return c.deadline, true }
+func (c *deadlineContext) Deadline() (time.Time, bool) { return c.deadline, true }
 
 // exchangeFailure explains why there is no answer.
 func (g *Gateway) exchangeFailure(c *call, nothingWritten bool) *failure {
--- a/internal/gateway/golden_test.go
+++ b/internal/gateway/golden_test.go
@@ -147,6 +147,7 @@
 			return s.b.gateway.targets.of(s.b.routes.Load().Services["route"].Targets[0]).gate.Load().Running
 		}
 		Eventually(load).Should(Equal(1))
+		Eventually(s.text).Should(ContainSubstring("server t1 sees")) // the slot is taken before the request is sent
 		s.note("caller", "closes the connection")
 		Expect(c.conn.Close()).To(Succeed())
 		Eventually(gone).Should(BeClosed())
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -64,7 +64,12 @@
 	if isReserved(path) {
 		return nil, notRun(http.StatusForbidden, "reserved-path", "the path belongs to the backend contract")
 	}
-	c := &call{in: r, service: s.Service, path: path, class: classOf(s.Service, path), safe: isSafe(r.Method)}
+	a := new(struct { // one allocation instead of two
+		call
+		deadlineContext
+	})
+	c := &a.call
+	*c = call{in: r, service: s.Service, path: path, class: classOf(s.Service, path), safe: isSafe(r.Method)}
 	if f := c.readKeys(r.Header); f != nil {
 		return nil, f
 	}
@@ -73,7 +78,8 @@
 		return nil, f
 	}
 	c.deadline = g.clock.Now().Add(left)
-	c.ctx = deadlineContext{r.Context(), c.deadline}
+	a.deadlineContext = deadlineContext{r.Context(), c.deadline}
+	c.ctx = &a.deadlineContext
 	return c, nil
 }
 
--- a/internal/gateway/tracked.go
+++ b/internal/gateway/tracked.go
@@ -40,11 +40,12 @@
 	sealed  bool // nothing may be written any more
 	silent  bool // result of peekOnce
 	probe   [1]byte
+	peek    func(uintptr) // peekOnce; a new closure for each request would allocate
 }
 
 func newTrackedConn(inner net.Conn) *trackedConn {
 	c := &trackedConn{Conn: inner, plain: true}
-	c.changed.L = &c.mu
+	c.changed.L, c.peek = &c.mu, c.peekOnce
 	if secured, ok := inner.(*tls.Conn); ok {
 		inner, c.plain = secured.NetConn(), false
 	}
@@ -119,7 +120,7 @@
 	}
 	c.silent = false
 	// Control, unlike Read, does not wait for the pending read.
-	return c.raw.Control(c.peekOnce) == nil && c.silent
+	return c.raw.Control(c.peek) == nil && c.silent
 }
 
 func (c *trackedConn) peekOnce(fd uintptr) {
