--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"strconv"
 	"strings"
@@ -36,6 +38,7 @@
 		g       *Gateway
 		t       *http.Transport
 		address string
+		scheme  string
 		dialled atomic.Int64
 		seen    sync.Map     // path of a request to its *atomic.Int64
 		answer  atomic.Value // answerTo
@@ -63,6 +66,7 @@
 		ignore := goleak.IgnoreCurrent()
 		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
 		dialled.Store(0)
+		scheme = "http"
 		seen.Clear()
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -91,7 +95,7 @@
 		}
 		c := &call{in: in, ctx: &deadlineContext{ctx, deadline}, deadline: deadline, body: b}
 		defer c.end()
-		resp, f := g.exchange(c, t, &url.URL{Scheme: "http", Host: address, Path: path}, h)
+		resp, f := g.exchange(c, t, &url.URL{Scheme: scheme, Host: address, Path: path}, h)
 		if f != nil {
 			return "", f
 		}
@@ -268,4 +272,34 @@
 		Expect(got).To(Equal("no"))
 		Expect(end.Close()).To(Succeed())
 	})
+
+	It("proves the same over TLS, and sends nothing to another identity", func() {
+		// Guards against requests to an instance that has taken over an address.
+		server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/lost" {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "ab")
+		}))
+		DeferCleanup(server.Close)
+		config := server.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+		address = server.Listener.Addr().String()
+		t.DialTLSContext = Tracked(func(ctx context.Context, network, address string) (net.Conn, error) {
+			dialled.Add(1)
+			return (&tls.Dialer{Config: config}).DialContext(ctx, network, address)
+		})
+		scheme = "https"
+		for range 3 {
+			got, f := send(bg, "GET", "/x", nil)
+			Expect(f).To(BeNil())
+			Expect(got).To(Equal("ab"))
+		}
+		Expect(dialled.Load()).To(BeEquivalentTo(1))
+		_, f := send(bg, "GET", "/lost", nil)
+		Expect(f.outcome).To(Equal(OutcomeUnknown))
+		config.ServerName = "another.example"
+		_, f = send(bg, "GET", "/x", nil)
+		Expect(f.outcome).To(Equal(OutcomeNotRun))
+		t.CloseIdleConnections()
+	})
 })
