--- a/cmd/boragegate/main.go
+++ b/cmd/boragegate/main.go
@@ -5,9 +5,14 @@
 	"os"
 
 	"github.com/boragegate/boragegate/internal/cli"
+	"github.com/boragegate/boragegate/internal/load"
 )
 
 // version is set at build time.
 var version = "devel"
 
-func main() { os.Exit(cli.Execute(cli.New(version))) }
+func main() {
+	cmd := cli.New(version)
+	cmd.AddCommand(load.Command())
+	os.Exit(cli.Execute(cmd))
+}
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -34,9 +34,9 @@
 	nextBeat  lease.Instant
 	lastStamp map[string]lease.Stamp // newest heartbeat of each member, to acknowledge again
 	acksSent  map[string]ackSent
-	returning bool                   // contact was lost and is not proven with the newest record
-	currentAt lease.Instant          // last moment without news of a newer record
-	until     lease.Instant          // last ExtendContact
+	returning bool          // contact was lost and is not proven with the newest record
+	currentAt lease.Instant // last moment without news of a newer record
+	until     lease.Instant // last ExtendContact
 
 	cell            *Cell
 	cellProvisional bool
