Check at each request whether the table is confirmed

Cause: whether an instance may serve was kept by a loop each 100 ms, so a process that resumes after a pause could serve by an old table until its next turn.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,7 +213,7 @@
 		StoreTimeout: i.opts.Timeouts.Store,
 	})
 	i.gateway = gateway.New(gateway.Config{
-		Self: i.opts.ID, Zone: i.opts.Zone, Routes: &i.routes, Authority: i.runner,
+		Self: i.opts.ID, Zone: i.opts.Zone, Routes: &i.routes, Authority: authority{i.runner, i},
 		ForwardTransport: wrap(i.opts.edges.forward, i.forwardTransport()), ForwardScheme: i.forwardScheme(),
 		Logger: i.logger, Metrics: i.metrics,
 		Idempotency: idempotency.Config{Skew: i.opts.Timeouts.ClockSkew, Retention: i.opts.Timeouts.IdempotencyRetention},
@@ -227,6 +227,15 @@
 	return nil
 }
 
+// authority adds to the checks of the control loop whether the table is confirmed.
+type authority struct {
+	*control.Runner
+	i *Instance
+}
+
+// MayServe implements route.Authority.
+func (a authority) MayServe() bool { return a.i.servingReason() == "" }
+
 // admissions lets the control loop stop the admission of requests.
 type admissions struct{ i *Instance }
 
--- a/internal/gateway/golden_test.go
+++ b/internal/gateway/golden_test.go
@@ -141,6 +141,13 @@
 		s.golden("deadline")
 	})
 
+	It("refuses when the table is not confirmed at the moment of the request", func() {
+		// Guards against a paused process that serves by an old table when it resumes.
+		s.refuseServe.Store(true)
+		s.connect().send("GET /route/routes/k1 HTTP/1.1\nHost: h\n\n").receive()
+		s.golden("table-not-confirmed")
+	})
+
 	It("frees the slot of a caller that hangs up", func() {
 		arrived, gone := make(chan struct{}), make(chan struct{})
 		s.script("t1", hold(arrived, gone))
--- a/internal/gateway/measure_test.go
+++ b/internal/gateway/measure_test.go
@@ -25,6 +25,7 @@
 
 type always struct{}
 
+func (always) MayServe() bool                          { return true }
 func (always) MayForward(string, uint64) bool          { return true }
 func (always) MayRun(string, uint64, int, uint64) bool { return true }
 
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"strconv"
 
 	"github.com/boragegate/boragegate/internal/route"
@@ -45,8 +46,8 @@
 
 // resolve finds the destination in the snapshot.
 func (g *Gateway) resolve(snapshot *route.Snapshot, c *call) (destination, *failure) {
-	if !snapshot.Serving {
-		return destination{}, unavailable("not-serving", "this instance takes no requests: "+snapshot.Reason)
+	if !snapshot.Serving || !g.cfg.Authority.MayServe() {
+		return destination{}, unavailable("not-serving", "this instance takes no requests: "+cmp.Or(snapshot.Reason, "its table is not confirmed"))
 	}
 	s := snapshot.Services[c.service.Name]
 	if s == nil {
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -28,13 +28,14 @@
 // session is two instances, a and b, with scripted servers. Callers talk to a.
 // Each step is recorded as it is seen on the wire, and compared with a golden file.
 type session struct {
-	mu        sync.Mutex
-	record    strings.Builder
-	a, b      *node
-	servers   map[string]*scriptedServer
-	service   table.Service
-	epoch     uint64
-	refuseRun atomic.Bool // Authority answers no
+	mu          sync.Mutex
+	record      strings.Builder
+	a, b        *node
+	servers     map[string]*scriptedServer
+	service     table.Service
+	epoch       uint64
+	refuseRun   atomic.Bool // Authority answers no
+	refuseServe atomic.Bool
 }
 
 type node struct {
@@ -45,6 +46,8 @@
 	peers   string
 }
 
+func (s *session) MayServe() bool { return !s.refuseServe.Load() }
+
 func (s *session) MayForward(string, uint64) bool { return !s.refuseRun.Load() }
 
 func (s *session) MayRun(string, uint64, int, uint64) bool { return !s.refuseRun.Load() }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,6 +50,9 @@
 
 // Authority is checked at the moment of each forwarded request.
 type Authority interface {
+	// MayServe reports whether this instance may take requests right now. Unlike
+	// Snapshot.Serving it holds at once after a pause of the process.
+	MayServe() bool
 	// MayForward reports whether this instance is in contact and controls the
 	// target under the term right now.
 	MayForward(target string, term uint64) bool
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -8,7 +8,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,6 +40,9 @@
 	roundsPerCycle = 8
 )
 
+// never stands for the time of a confirmation that has not happened.
+const never = lease.Instant(math.MinInt64)
+
 // Peers sends messages to other instances; Send does not block.
 type Peers interface {
 	Send(to ownership.Member, msg ownership.Message)
@@ -70,6 +75,8 @@
 	data      []byte
 	confirmed lease.Instant
 	known     bool
+	// confirmedAt is confirmed, or never, for readers without the mutex.
+	confirmedAt atomic.Int64
 	// answered has the members that answered a request; nil once the first
 	// confirmation may count.
 	answered map[string]bool
@@ -96,10 +103,12 @@
 
 // New returns a follower that has not started.
 func New(cfg Config) *Follower {
-	return &Follower{
+	f := &Follower{
 		cfg: cfg, start: time.Now(), answered: map[string]bool{}, inForce: map[string]Version{},
 		targets: map[string]ownership.TargetStatus{}, changed: make(chan struct{}),
 	}
+	f.confirmedAt.Store(int64(never))
+	return f
 }
 
 // Start starts to follow.
@@ -129,9 +138,9 @@
 // Confirmed reports whether the version in force was known to be the newest
 // within ConfirmationValid, and whether it was ever known to be.
 func (f *Follower) Confirmed() (recently, ever bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.known && f.now()-f.confirmed < ConfirmationValid, f.known
+	at := lease.Instant(f.confirmedAt.Load())
+	ever = at != never
+	return ever && f.now()-at < ConfirmationValid, ever
 }
 
 // ConfirmedAge returns the time since the version in force was known to be the
@@ -250,6 +259,7 @@
 	}
 	if !f.known || at > f.confirmed {
 		f.known, f.confirmed = true, at
+		f.confirmedAt.Store(int64(at))
 	}
 }
 
