End requests at a controller that is lost silently

If the target has a higher term, it waits 300 ms and probes the forward listener of the earlier controller. After two probes in a row without a response (300 ms each) it ends the attempt. A safe request is sent again with a new wait limit, another one gets unknown at once. A refused connection counts as a response, because a planned stop closes the listener before its requests in flight end.

A frozen process whose host still accepts connections is not detected.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -43,10 +43,7 @@
 func (g *Gateway) repeat(c *call) (*http.Response, *failure) {
 	budget := g.budgets.of(c.service.Name)
 	budget.Request()
-	giveUp := g.clock.Now().Add(g.cfg.HandoverWait)
-	if end := c.deadline.Add(-answerReserve); end.Before(giveUp) {
-		giveUp = end
-	}
+	giveUp := g.giveUp(c)
 	later := 0
 	for attempt := 0; ; attempt++ {
 		snapshot, changed := g.cfg.Routes.Watch()
@@ -61,6 +58,9 @@
 		if f.again == againNever || !c.body.repeatable() || c.ctx.Err() != nil {
 			return nil, f
 		}
+		if f.lost { // the wait for a header must not use up the time for another attempt
+			giveUp = g.giveUp(c)
+		}
 		wait := routedBackoff.Wait(attempt)
 		if f.again != againRouted {
 			later++
@@ -76,6 +76,15 @@
 	}
 }
 
+// giveUp is the time until which a request may wait for another attempt.
+func (g *Gateway) giveUp(c *call) time.Time {
+	end, reserve := g.clock.Now().Add(g.cfg.HandoverWait), c.deadline.Add(-answerReserve)
+	if reserve.Before(end) {
+		return reserve
+	}
+	return end
+}
+
 // laterWait is the wait after a failure that may pass. Another target is tried at once.
 func (g *Gateway) laterWait(f *failure, later int) time.Duration {
 	if f.again == againElsewhere {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 // Errors of answers that cannot be passed on.
 var (
+	errGivenUp  = errors.New("the instance in front of the target is lost")
 	errNotAsked = errors.New("the answer came before the request")
 	errStatus   = errors.New("the status of the answer is informational or not valid")
 )
@@ -26,18 +27,38 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	c.body.attach(req)
-	resp, err := t.RoundTrip(req)
+	resp, lost, err := g.roundTrip(c, t, a, req)
 	if err == nil {
 		err = a.check(t, resp)
 	}
 	if err != nil {
 		f := g.exchangeFailure(c, a.nothingWritten(t))
+		f.lost = lost
 		c.end()
 		return nil, f
 	}
 	return resp, nil
 }
 
+// roundTrip waits for the header of the answer. It reports whether the attempt
+// was given up because the instance it was forwarded to is lost.
+func (g *Gateway) roundTrip(c *call, t http.RoundTripper, a *attempt, req *http.Request) (*http.Response, bool, error) {
+	if c.forwarded == nil {
+		resp, err := t.RoundTrip(req)
+		return resp, false, err
+	}
+	w := &lossWatch{g: g, target: c.forwarded, ctx: req.Context(), cancel: a.cancel}
+	timer := g.clock.AfterFunc(lossGrace, w.run)
+	resp, err := t.RoundTrip(req)
+	timer.Stop()
+	lost := w.end()
+	if lost && err == nil {
+		_ = resp.Body.Close()
+		err = errGivenUp
+	}
+	return resp, lost, err
+}
+
 // check closes an answer that must not be passed on.
 func (a *attempt) check(t http.RoundTripper, resp *http.Response) (err error) {
 	switch {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -29,7 +29,9 @@
 	}
 	g.setCommon(h, values, c)
 	u := &url.URL{Scheme: g.cfg.ForwardScheme, Host: d.target.ForwardAddress, Path: c.in.URL.Path, RawPath: c.in.URL.RawPath}
+	c.forwarded = d.target
 	resp, f := g.exchange(c, g.cfg.ForwardTransport, u, h)
+	c.forwarded = nil
 	if f != nil {
 		if f.outcome == OutcomeUnknown && c.safe {
 			f.again = againLater
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 type Gateway struct {
 	cfg     Config
 	clock   clockwork.Clock
+	probe   DialFunc // looks whether the host of an earlier controller responds
 	waiting atomic.Int64
 	active  active
 
@@ -122,7 +123,7 @@
 // New returns a gateway.
 func New(cfg Config) *Gateway {
 	cfg = cfg.withDefaults()
-	g := &Gateway{cfg: cfg, clock: cfg.Clock}
+	g := &Gateway{cfg: cfg, clock: cfg.Clock, probe: Dial}
 	g.targets.gateway = g
 	g.tenures.gateway = g
 	g.registerGauges()
--- /dev/null
+++ b/internal/gateway/loss.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/boragegate/boragegate/internal/route"
+)
+
+const (
+	// lossGrace is the time for which a controller may finish requests after a
+	// newer one took its target. Requests shorter than this start no watch.
+	lossGrace = 300 * time.Millisecond
+	// lossProbeTime bounds one probe. A connection within a region opens within milliseconds.
+	lossProbeTime = 300 * time.Millisecond
+	// lossProbes is the number of failed probes in a row after which a controller
+	// counts as lost. One lost packet must not cut off a request.
+	lossProbes = 2
+	// lossProbeInterval is the wait after a probe that was answered.
+	lossProbeInterval = time.Second
+)
+
+// States of a lossWatch.
+const (
+	lossWaiting int32 = iota
+	lossAnswered
+	lossGivenUp
+)
+
+// lossWatch gives up a forwarded request if a newer controller has the target
+// and the host of the earlier one does not respond.
+type lossWatch struct {
+	g      *Gateway
+	target *route.Target
+	ctx    context.Context //nolint:containedctx // ends with the attempt
+	cancel context.CancelFunc
+	state  atomic.Int32
+}
+
+// end stops giving up, and reports whether the attempt was given up before.
+func (w *lossWatch) end() bool { return !w.state.CompareAndSwap(lossWaiting, lossAnswered) }
+
+// run cancels the attempt when its controller is lost. It returns at the latest
+// with the attempt.
+func (w *lossWatch) run() {
+	if !w.replaced() || !w.sleep(lossGrace) {
+		return
+	}
+	for failed := 0; failed < lossProbes; {
+		if w.state.Load() != lossWaiting {
+			return
+		}
+		if w.silent() {
+			failed++
+			continue
+		}
+		failed = 0
+		if !w.sleep(lossProbeInterval) {
+			return
+		}
+	}
+	if w.state.CompareAndSwap(lossWaiting, lossGivenUp) {
+		w.cancel()
+	}
+}
+
+// replaced waits until a snapshot has a newer term of the target.
+func (w *lossWatch) replaced() bool {
+	for w.state.Load() == lossWaiting {
+		snapshot, changed := w.g.cfg.Routes.Watch()
+		if s := snapshot.Services[w.target.Row.Service]; s != nil {
+			for _, t := range s.Targets {
+				if t.Row.Target == w.target.Row.Target && t.Term > w.target.Term {
+					return true
+				}
+			}
+		}
+		select {
+		case <-changed:
+		case <-w.ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+func (w *lossWatch) sleep(d time.Duration) bool {
+	timer := w.g.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+// silent reports whether nothing responds at the controller's address. A refused
+// connection is a response: a planned stop closes the listener before the
+// requests in flight end, and a host closes the connections of a dead process.
+func (w *lossWatch) silent() bool {
+	ctx, cancel := context.WithTimeout(w.ctx, lossProbeTime)
+	defer cancel()
+	conn, err := w.g.probe(ctx, "tcp", w.target.ForwardAddress)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	var timeout net.Error
+	return w.ctx.Err() == nil && (errors.As(err, &timeout) && timeout.Timeout() ||
+		errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH))
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -41,6 +41,7 @@
 
 // failure is an answer that the gateway itself gives.
 type failure struct {
+	lost       bool // the instance in front of the target was lost after the request left
 	status     int
 	slug       string // last part of the problem type
 	detail     string
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,6 +38,8 @@
 	safe     bool   // a repeated run has no effect
 	avoid    string // target that has refused the request
 
+	forwarded *route.Target // set during an exchange with another instance
+
 	mayHaveRun bool // an attempt ended without a certain outcome
 
 	sent   bool               // an attempt has used the headers
