Test the probe for a lost controller on real listeners

Cause: the specs of a lost controller replace the probe, so nothing showed that the real one takes a refused connection for a response. Change: a spec probes an open and then a closed listener on loopback. Conclusion: a planned stop that has closed its listener is not taken for a loss.

--- a/internal/gateway/loss_test.go
+++ b/internal/gateway/loss_test.go
@@ -58,4 +58,14 @@
 		Entry("planned hand-over, listener closed", "POST", refused, true, 200, ""),
 		Entry("no other controller", "POST", silent, false, 200, ""),
 	)
+
+	It("takes a listener that accepts or refuses for a host that responds", func() {
+		// Guards against a probe that fails on a host that is up.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		w := &lossWatch{g: New(Config{}), target: &route.Target{ForwardAddress: l.Addr().String()}, ctx: context.Background()}
+		Expect(w.silent()).To(BeFalse())
+		Expect(l.Close()).To(Succeed())
+		Expect(w.silent()).To(BeFalse())
+	})
 })
