Run the commands of the tutorial in a test

Cause: commands of the tutorial failed when run in order as printed. "status" and "table apply" ran before the instance answered or was in contact (exit codes 8 and 1), "curl" got 503 before the table was confirmed, and the backend servers and the stop of the first instance had no printed commands.

--- /dev/null
+++ b/docs/docstest/tutorial_test.go
@@ -0,0 +1,132 @@
+// Package docstest_test runs the commands that the documentation prints.
+package docstest_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// scriptTimeout bounds all commands; the package stays under 40 s.
+const scriptTimeout = 35 * time.Second
+
+var (
+	fence    = regexp.MustCompile("(?ms)^```(sh|jsonc)\n(.*?)^```$")
+	fileName = regexp.MustCompile("`([a-z]+\\.jsonc)`")
+	port     = regexp.MustCompile(`127\.0\.0\.1:(\d{4})\b`)
+)
+
+func TestDocs(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes on fixed ports")
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "docs")
+}
+
+func read(root, page string) string {
+	data, err := os.ReadFile(filepath.Join(root, page))
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+// script turns the blocks of a page into one shell script, in their order. A
+// jsonc block becomes the file that the paragraph before it names first.
+func script(page string) string {
+	var b strings.Builder
+	end := 0
+	for _, m := range fence.FindAllStringSubmatchIndex(page, -1) {
+		text, body := page[end:m[0]], page[m[4]:m[5]]
+		end = m[1]
+		if page[m[2]:m[3]] == "sh" {
+			b.WriteString(body)
+			continue
+		}
+		paragraphs := strings.Split(strings.TrimSpace(text), "\n\n")
+		name := fileName.FindStringSubmatch(paragraphs[len(paragraphs)-1])
+		Expect(name).NotTo(BeNil(), "a jsonc block without a file name: %s", body)
+		fmt.Fprintf(&b, "cat > %s <<'END'\n%sEND\n", name[1], body)
+	}
+	return b.String()
+}
+
+// expectFree reports ports of the page that another program uses.
+func expectFree(ports []string) {
+	for _, p := range ports {
+		ln, err := net.Listen("tcp", "127.0.0.1:"+p)
+		Expect(err).NotTo(HaveOccurred(), "port %s, which the tutorial prints, is in use", p)
+		Expect(ln.Close()).To(Succeed())
+	}
+}
+
+// run runs the script with sh -e in dir and returns its output. All processes
+// share a process group, which is killed at the end.
+func run(dir, script string) (string, error) {
+	out, err := os.Create(filepath.Join(dir, "output"))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = out.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, "sh", "-ec", "set -x\n"+script)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = dir, out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	Expect(cmd.Start()).To(Succeed())
+	defer func() { _ = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) }()
+	runErr := cmd.Wait()
+	text, err := os.ReadFile(out.Name())
+	Expect(err).NotTo(HaveOccurred())
+	return string(text), runErr
+}
+
+// Guards against pages whose commands fail when they are run as printed. The
+// demo of the README runs beside the tutorial to save time: its ports are free ones.
+var _ = It("runs the demo, sections 2 to 5 of the tutorial and the blocks of the page about the table", func() {
+	root, err := filepath.Abs("../..")
+	Expect(err).NotTo(HaveOccurred())
+	_, page, found := strings.Cut(read(root, "docs/tutorial.md"), "\n## 2. ")
+	Expect(found).To(BeTrue())
+	page, _, found = strings.Cut(page, "\n## 6. ") // section 6 needs eight machines
+	Expect(found).To(BeTrue())
+
+	var ports []string
+	for _, m := range port.FindAllStringSubmatch(page, -1) {
+		ports = append(ports, m[1])
+	}
+	for _, i := range []string{"1", "2", "3"} {
+		for _, l := range []string{"1", "2", "3", "4"} {
+			ports = append(ports, "71"+i+l) // printed as 71${i}1 in a loop
+		}
+	}
+	expectFree(ports)
+
+	dir := GinkgoT().TempDir()
+	text := script(page) + "PATH=$PWD/bin:$PATH\nEDITOR='sed -i s/here/there/'\n" + script(read(root, "docs/operators/table.md"))
+	Expect(text).To(ContainSubstring("go build -o bin/"))
+	text = strings.Replace(text, "go build -o bin/", "go build -C '"+root+"' -o '"+dir+"/bin/'", 1)
+	_, curlErr := exec.LookPath("curl")
+	if curlErr != nil {
+		text = strings.ReplaceAll(text, "\ncurl ", "\n: curl ")
+	}
+	demo := regexp.MustCompile("`(go run [^`]* --duration [^`]*)`").FindStringSubmatch(read(root, "README.md"))
+	Expect(demo).NotTo(BeNil())
+	out, err := run(dir, "(cd '"+root+"'; exec "+demo[1]+") &\ndemo=$!\n"+text+"\nwait $demo\n")
+	Expect(err).NotTo(HaveOccurred(), "%s", out)
+	Expect(out).To(ContainSubstring("one owner per key"))
+	Expect(out).To(MatchRegexp(`(?m)^key "district-7".*\n(.*\n)*.*\br1\b`))
+	if curlErr == nil {
+		Expect(out).To(ContainSubstring("HTTP/1.1 200 OK"))
+	}
+	Expect(out).To(ContainSubstring("in force on all 3 instances"))
+	Expect(out).To(ContainSubstring("+ row route/r16"))
+})
