--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -30,7 +30,7 @@
 	rows := t.RowsOf(s.Name)
 	var weights float64
 	for _, r := range rows {
-		weights += r.Weight
+		weights += share(r)
 	}
 	var load float64
 	for _, r := range rows {
@@ -84,10 +84,18 @@
 	i.loads.Store(&loads)
 }
 
+// share is the weight of a target that may own partitions.
+func share(r table.Row) float64 {
+	if r.Drain {
+		return 0
+	}
+	return r.Weight
+}
+
 func (i *Instance) target(r table.Row, v *ownership.View, a *placement.Assignment, weights float64) api.Target {
 	t := api.Target{Name: r.Target, Address: r.Address, Zone: r.Zone, State: string(ownership.TargetUnknown), Slots: r.Slots}
 	if weights > 0 {
-		t.WeightShare = r.Weight / weights
+		t.WeightShare = share(r) / weights
 	}
 	if a != nil {
 		t.Partitions = len(a.PartitionsOf(r.Target))
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -61,6 +61,10 @@
 			in.Controls++
 		}
 	}
+	if m.ID == i.opts.ID {
+		in.HeardMS, in.TableVersion = 0, inForce[m.ID].Version
+		return in
+	}
 	heard, ok := inForce[m.ID]
 	if !ok {
 		in.Reason = "not heard of yet"
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/platform"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
 
@@ -18,7 +20,7 @@
 
 // ErrNotInContact means that the instance does not reach a majority of its cell
 // and therefore accepts no change.
-var ErrNotInContact = eris.New("this instance does not reach a majority of its cell")
+var ErrNotInContact = fmt.Errorf("this instance does not reach a majority of its cell: %w", platform.ErrUnavailable)
 
 // announcer implements tablestore.Announcer: a change is accepted only by an
 // instance in contact, and spread before the operator is told.
