Use a port that stays closed where a test needs an unreachable instance

Cause: 'tells the truth when the controller cannot be reached' failed once in 24 runs in parallel: the port of the closed listener had been taken by another test process, which answered 201. Change: the spec forwards to port 1, on which nothing listens; the golden file and the checks are unchanged. Conclusion: a fault of the test, not of the gateway.

--- a/internal/gateway/golden_test.go
+++ b/internal/gateway/golden_test.go
@@ -124,7 +124,10 @@
 	It("tells the truth when the controller or server cannot be reached", func() {
 		// Guards against "unknown" for what has certainly not run.
 		s.a.gateway.cfg.HandoverWait = 200 * time.Millisecond
-		s.b.die()
+		// Nothing listens on port 1. The port of a closed listener could be taken
+		// by another test at this moment, which then answers.
+		s.b.peers = "127.0.0.1:1"
+		s.own("t1")
 		s.connect().send("POST /route/routes/k1 HTTP/1.1\nHost: h\nContent-Length: 2\n\nab").receive()
 		s.golden("controller-unreachable")
 	})
