Count moves, unavailable time, store calls and what is left of leases

Cause: churn, unavailable time, store calls and lease ages were missing from the metrics that operators were promised.

--- a/internal/daemon/auditlog.go
+++ b/internal/daemon/auditlog.go
@@ -12,6 +12,7 @@
 // ownership to the audit trail as well.
 func (i *Instance) record(rec ownership.Record) {
 	i.logger.Info().Str("event", rec.Event).Fields(rec.Fields).Send()
+	i.countMoves(rec)
 	if rec.Audit {
 		i.trail.Add(audit.FromRecord(rec))
 	}
@@ -19,7 +20,7 @@
 
 // Audit implements operator.Daemon.
 func (i *Instance) Audit(ctx context.Context, before uint64, limit int) ([]api.AuditEntry, error) {
-	entries, err := audit.Read(ctx, i.opts.Store, i.opts.Cell, audit.Filter{Before: before, Limit: limit})
+	entries, err := audit.Read(ctx, i.store, i.opts.Cell, audit.Filter{Before: before, Limit: limit})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,6 +127,7 @@
 	opts    Options
 	logger  zerolog.Logger
 	metrics metrics.Registry
+	store   platform.Store // counts the calls of opts.Store
 
 	routes   route.Holder
 	gateway  *gateway.Gateway
@@ -155,6 +156,7 @@
 func New(o Options) (*Instance, error) {
 	o.Timeouts.setDefaults()
 	i := &Instance{opts: o, metrics: metrics.NewRegistry(), servers: backend.New(), started: time.Now(), incarnation: uuid.NewString()}
+	i.store = countedStore{o.Store, i.metrics}
 	i.logger = o.Logger.With().Str("instance", o.ID).Logger()
 	if err := i.open(); err != nil {
 		i.lists.close()
@@ -198,7 +200,7 @@
 	cfg.Cell = i.opts.Cell
 	cfg.Incarnation = i.incarnation
 	i.trail, err = audit.New(audit.Config{
-		Store: i.opts.Store, Trail: i.opts.Cell, Instance: i.opts.ID, Incarnation: cfg.Incarnation,
+		Store: i.store, Trail: i.opts.Cell, Instance: i.opts.ID, Incarnation: cfg.Incarnation,
 		Logger: i.logger, Metrics: i.metrics,
 	})
 	if err != nil {
@@ -208,7 +210,7 @@
 	cfg.NewPolicy = func(string) placement.Policy { return i.opts.Policy.NewPolicy() }
 	peers := wrap[control.Peers](i.opts.edges.peers, i.peers)
 	i.runner = control.New(control.Config{
-		Core: cfg, Store: i.opts.Store, Servers: wrap[control.Servers](i.opts.edges.servers, i.servers), Peers: peers,
+		Core: cfg, Store: i.store, Servers: wrap[control.Servers](i.opts.edges.servers, i.servers), Peers: peers,
 		Admissions: admissions{i}, Routes: &i.routes, Record: i.record, Logger: i.logger,
 		StoreTimeout: i.opts.Timeouts.Store,
 	})
@@ -219,11 +221,11 @@
 		Idempotency: idempotency.Config{Skew: i.opts.Timeouts.ClockSkew, Retention: i.opts.Timeouts.IdempotencyRetention},
 	})
 	i.follower = tablesync.New(tablesync.Config{
-		Self: i.opts.ID, Store: i.opts.Store, Peers: peers, Members: i.members,
+		Self: i.opts.ID, Store: i.store, Peers: peers, Members: i.members,
 		Adopt: func(t *table.Table) { i.runner.SetTable(t) }, Logger: i.logger,
 		ReadTimeout: i.opts.Timeouts.Store, Report: i.targetStatus,
 	})
-	i.tables = tablestore.New(i.opts.Store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
+	i.tables = tablestore.New(i.store, tablestore.Options{Announcer: announcer{i}, Zones: i.opts.KnownZones})
 	return nil
 }
 
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -16,10 +16,11 @@
 	reasonStopping    = "stopping"
 )
 
-// watchServing keeps the serving state up to date.
+// watchServing keeps the serving state and the metrics of the targets up to date.
 func (i *Instance) watchServing() error {
 	last := "?"
 	for i.sleep(servingInterval) {
+		i.meterTargets(servingInterval)
 		if reason := i.servingReason(); reason != last {
 			last = reason
 			i.runner.SetServing(reason == "", reason)
--- /dev/null
+++ b/internal/daemon/meters.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/boragegate/boragegate/ownership"
+	"github.com/boragegate/boragegate/platform"
+)
+
+// countedStore counts the calls of a store by kind of call, and those that failed.
+type countedStore struct {
+	platform.Store
+	registry metrics.Registry
+}
+
+func (s countedStore) count(call string, err error) {
+	metrics.GetOrRegisterCounter("store.calls."+call, s.registry).Inc(1)
+	if err != nil {
+		metrics.GetOrRegisterCounter("store.failed."+call, s.registry).Inc(1)
+	}
+}
+
+// Get implements platform.Store.
+func (s countedStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	obj, err := s.Store.Get(ctx, kind, name)
+	s.count("get", err)
+	return obj, err
+}
+
+// List implements platform.Store.
+func (s countedStore) List(ctx context.Context, kind string) ([]platform.Object, platform.Version, error) {
+	list, version, err := s.Store.List(ctx, kind)
+	s.count("list", err)
+	return list, version, err
+}
+
+// Create implements platform.Store.
+func (s countedStore) Create(ctx context.Context, obj platform.Object) (platform.Object, error) {
+	obj, err := s.Store.Create(ctx, obj)
+	s.count("create", err)
+	return obj, err
+}
+
+// Update implements platform.Store.
+func (s countedStore) Update(ctx context.Context, obj platform.Object) (platform.Object, error) {
+	obj, err := s.Store.Update(ctx, obj)
+	s.count("update", err)
+	return obj, err
+}
+
+// Delete implements platform.Store.
+func (s countedStore) Delete(ctx context.Context, kind, name string, version platform.Version) error {
+	err := s.Store.Delete(ctx, kind, name, version)
+	s.count("delete", err)
+	return err
+}
+
+// Instances implements platform.Store.
+func (s countedStore) Instances(ctx context.Context) ([]platform.Instance, error) {
+	list, err := s.Store.Instances(ctx)
+	s.count("instances", err)
+	return list, err
+}
+
+// countMoves counts the partitions that an assignment in force gave a new owner.
+// Only the planner that made the assignment records it.
+func (i *Instance) countMoves(rec ownership.Record) {
+	if rec.Event != "assignment.in_force" {
+		return
+	}
+	var service string
+	var changes int
+	for n := 0; n+1 < len(rec.Fields); n += 2 {
+		switch rec.Fields[n] {
+		case "service":
+			service, _ = rec.Fields[n+1].(string)
+		case "changes":
+			changes, _ = rec.Fields[n+1].(int)
+		}
+	}
+	metrics.GetOrRegisterCounter("ownership.partitions_moved."+service, i.metrics).Inc(int64(changes))
+}
+
+// meterTargets adds the time for which partitions of this instance's targets had
+// no server that can serve them, and shows what is left of the leases.
+func (i *Instance) meterTargets(elapsed time.Duration) {
+	v := i.runner.View()
+	for id, h := range v.Held {
+		service, name, _ := strings.Cut(id, "/")
+		a := v.Assignments[service]
+		if a == nil {
+			continue
+		}
+		// A gauge of that name stays, and shows 0 once another instance has control.
+		_ = i.metrics.Register("ownership.lease_left_ms."+id, metrics.NewFunctionalGauge(func() int64 {
+			return i.runner.LeaseLeft(id).Milliseconds()
+		}))
+		if h.State != ownership.TargetHeld {
+			lost := int64(len(a.PartitionsOf(name))) * elapsed.Milliseconds()
+			metrics.GetOrRegisterCounter("ownership.unavailable_ms."+service, i.metrics).Inc(lost)
+		}
+	}
+}
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -51,7 +51,7 @@
 // from the cell record, and makes this instance the planner in a new term.
 func (i *Instance) Forget(ctx context.Context, instances []string) error {
 	kind, name := "cell", i.opts.Cell
-	obj, err := i.opts.Store.Get(ctx, kind, name)
+	obj, err := i.store.Get(ctx, kind, name)
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 		return eris.Wrap(err, "encode cell record")
 	}
 	obj.Writer = uuid.NewString()
-	if _, err = i.opts.Store.Update(ctx, obj); err != nil {
+	if _, err = i.store.Update(ctx, obj); err != nil {
 		return err
 	}
 	i.runner.Post(ownership.MessageReceived{From: i.opts.ID, Message: ownership.CellUpdate{Cell: &cell}})
