List the moves of each assignment with their cause in log and audit trail

Cause: the audit trail said how many partitions an assignment changed, but not which, from where, and why. Change: assignment.in_force carries 'moves', grouped by owners and cause with ranges of partitions, about 1 KB at most. Conclusion: an operator can see for each change of owner its cause and, in the version, its epoch.

--- a/ownership/change.go
+++ b/ownership/change.go
@@ -14,7 +14,9 @@
 	cell *Cell                 // one of cell and a
 	a    *placement.Assignment //
 	// delta is the step from the version before, for the members.
-	delta   placement.Delta
+	delta placement.Delta
+	// moves lists the changes of an assignment for the audit trail.
+	moves   string
 	base    uint64
 	version uint64
 	// expect is the version that the store has if it has none of this term.
@@ -129,8 +131,11 @@
 			d = placement.Delta{Service: ch.a.Service, From: ch.version, To: ch.version}
 		}
 		c.broadcast(AssignmentUpdate{Delta: d, Provisional: provisional})
-		c.record(!provisional, "assignment.in_force", "service", ch.a.Service, "version", ch.version,
-			"changes", len(ch.delta.Changes), "provisional", provisional)
+		fields := []any{"service", ch.a.Service, "version", ch.version, "changes", len(ch.delta.Changes), "provisional", provisional}
+		if ch.moves != "" {
+			fields = append(fields, "moves", ch.moves)
+		}
+		c.record(!provisional, "assignment.in_force", fields...)
 	}
 }
 
--- /dev/null
+++ b/ownership/moves.go
@@ -0,0 +1,79 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/boragegate/boragegate/placement"
+)
+
+// maxMovesText bounds the text about the moves of one assignment, in bytes, so
+// that an entry of the audit trail stays small after the loss of a zone.
+const maxMovesText = 1000
+
+// causeReturned is the cause of a change that gives partitions back to an owner
+// that had released them without a move.
+const causeReturned = "returned"
+
+// cause tells why a partition gets a new owner.
+func (c *Core) cause(sp *servicePlan, a *placement.Assignment, ch placement.Change) string {
+	if m, ok := sp.moving[ch.Partition]; ok && m.Target == ch.Target {
+		return m.Reason
+	}
+	owner := a.OwnerOf(ch.Partition)
+	switch {
+	case owner == "":
+		return placement.ReasonInitial
+	case owner == ch.Target:
+		return causeReturned
+	default:
+		return placement.ReasonLost
+	}
+}
+
+// movesText lists the changes of an assignment for the audit trail, grouped by
+// owners and cause, for example "r3>r1 lost 4-6,9; r3>r2 lost 7".
+func movesText(a *placement.Assignment, list []placement.Change, cause func(placement.Change) string) string {
+	groups := map[string][]int{}
+	for _, ch := range list {
+		key := a.OwnerOf(ch.Partition) + ">" + ch.Target + " " + cause(ch)
+		groups[key] = append(groups[key], ch.Partition)
+	}
+	keys := make([]string, 0, len(groups))
+	for k := range groups {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	var b strings.Builder
+	for _, k := range keys {
+		part := k + " " + rangesText(groups[k])
+		if b.Len()+len(part) > maxMovesText {
+			part = fmt.Sprintf("%s %d partitions", k, len(groups[k]))
+		}
+		if b.Len() > 0 {
+			b.WriteString("; ")
+		}
+		b.WriteString(part)
+	}
+	return b.String()
+}
+
+// rangesText writes rising numbers as ranges, for example "4-6,9".
+func rangesText(ps []int) string {
+	var parts []string
+	for i := 0; i < len(ps); {
+		j := i
+		for j+1 < len(ps) && ps[j+1] == ps[j]+1 {
+			j++
+		}
+		text := strconv.Itoa(ps[i])
+		if j > i {
+			text += "-" + strconv.Itoa(ps[j])
+		}
+		parts = append(parts, text)
+		i = j + 1
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/ownership/moves_test.go
@@ -0,0 +1,33 @@
+package ownership
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/boragegate/boragegate/placement"
+)
+
+// TestMovesText guards against an audit entry that does not say which partitions
+// moved and why, and against one that grows with the number of partitions.
+func TestMovesText(t *testing.T) {
+	g := NewWithT(t)
+	a := placement.NewAssignment("route", 4096).With(1, []placement.Change{{Partition: 4, Target: "r1"}, {Partition: 5, Target: "r1"}})
+	cause := func(ch placement.Change) string {
+		if ch.Partition < 10 {
+			return placement.ReasonLost
+		}
+		return placement.ReasonInitial
+	}
+	list := []placement.Change{{Partition: 4, Target: "r2"}, {Partition: 5, Target: "r2"}, {Partition: 9, Target: "r2"}, {Partition: 11, Target: "r3"}}
+	g.Expect(movesText(a, list, cause)).To(Equal(">r2 lost 9; >r3 initial 11; r1>r2 lost 4-5"))
+
+	var many []placement.Change
+	for p := 10; p < 4096; p += 2 {
+		many = append(many, placement.Change{Partition: p, Target: "r2"})
+	}
+	text := movesText(a, many, cause)
+	g.Expect(len(text)).To(BeNumerically("<", 2*maxMovesText))
+	g.Expect(strings.HasSuffix(text, "partitions")).To(BeTrue())
+}
--- a/ownership/plan_partitions.go
+++ b/ownership/plan_partitions.go
@@ -72,7 +72,7 @@
 	if base.Version >= (c.plan.term+1)<<32 {
 		return // a newer planner exists
 	}
-	c.startChange(sp, base, nil)
+	c.startChange(sp, base, nil, "")
 }
 
 // refence starts the recovery again if an older planner wrote before the fence.
@@ -101,14 +101,14 @@
 
 // startChange brings the next version of the assignment on its way. The first one
 // of a term is the fence: it counts only when the store has it.
-func (c *Core) startChange(sp *servicePlan, base *placement.Assignment, changes []placement.Change) {
+func (c *Core) startChange(sp *servicePlan, base *placement.Assignment, changes []placement.Change, moves string) {
 	version := base.Version + 1
 	if version>>32 < c.plan.term {
 		version = c.plan.term<<32 | 1
 	}
 	next := base.With(version, changes)
 	sp.change = &change{
-		slot: sp.s.slot, a: next, base: base.Version, version: version,
+		slot: sp.s.slot, a: next, moves: moves, base: base.Version, version: version,
 		storeOnly: !sp.fenced, expect: sp.s.slot.seen,
 		delta: placement.Delta{Service: sp.s.name, From: base.Version, To: version, Changes: changes},
 	}
@@ -149,9 +149,12 @@
 	list := make([]placement.Change, 0, len(changes))
 	for _, p := range slices.Sorted(maps.Keys(changes)) {
 		list = append(list, placement.Change{Partition: p, Target: changes[p]})
-		delete(sp.moving, p)
 	}
-	c.startChange(sp, a, list)
+	moves := movesText(a, list, func(ch placement.Change) string { return c.cause(sp, a, ch) })
+	for _, ch := range list {
+		delete(sp.moving, ch.Partition)
+	}
+	c.startChange(sp, a, list, moves)
 }
 
 // policyTargets describes the targets of a service to its policy: those of the
