--- a/ownership/moves.go
+++ b/ownership/moves.go
@@ -22,11 +22,10 @@
 	if m, ok := sp.moving[ch.Partition]; ok && m.Target == ch.Target {
 		return m.Reason
 	}
-	owner := a.OwnerOf(ch.Partition)
-	switch {
-	case owner == "":
+	switch a.OwnerOf(ch.Partition) {
+	case "":
 		return placement.ReasonInitial
-	case owner == ch.Target:
+	case ch.Target:
 		return causeReturned
 	default:
 		return placement.ReasonLost
