Share the term check of the sample server's contract handlers

Cause: three handlers repeated decoding, locking and the refusal of a stale term. Change: accept does all three; the handlers keep what differs. Conclusion: behaviour is the same.

--- a/examples/backend/server/contract.go
+++ b/examples/backend/server/contract.go
@@ -22,15 +22,10 @@
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func (s *Server) handleLease(w http.ResponseWriter, r *http.Request) {
-	req, ok := decode(w, r)
+	req, ok := s.accept(w, r)
 	if !ok {
 		return
 	}
-	s.mu.Lock()
-	if !s.grants.acceptTerm(req.Term) {
-		s.refuseStale(w)
-		return
-	}
 	s.grants.renew(s.now(), req, s.boot)
 	s.grants.change(req)
 	s.mu.Unlock()
@@ -49,15 +44,10 @@
 }
 
 func (s *Server) handleRelease(w http.ResponseWriter, r *http.Request) {
-	req, ok := decode(w, r)
+	req, ok := s.accept(w, r)
 	if !ok {
 		return
 	}
-	s.mu.Lock()
-	if !s.grants.acceptTerm(req.Term) {
-		s.refuseStale(w)
-		return
-	}
 	s.grants.change(ownership.ServerRequest{Set: req.Set, Removals: req.Removals})
 	for s.grants.busy(req.Removals) {
 		released := s.grants.released
@@ -75,15 +65,10 @@
 }
 
 func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
-	req, ok := decode(w, r)
+	req, ok := s.accept(w, r)
 	if !ok {
 		return
 	}
-	s.mu.Lock()
-	if !s.grants.acceptTerm(req.Term) {
-		s.refuseStale(w)
-		return
-	}
 	s.grants.draining = true
 	reply := s.reply(false)
 	s.mu.Unlock()
@@ -145,6 +130,21 @@
 	}
 }
 
+// accept decodes a request and takes the mutex if its term is not stale. Else it
+// has answered.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (ownership.ServerRequest, bool) {
+	req, ok := decode(w, r)
+	if !ok {
+		return req, false
+	}
+	s.mu.Lock()
+	if !s.grants.acceptTerm(req.Term) {
+		s.refuseStale(w)
+		return req, false
+	}
+	return req, true
+}
+
 func decode(w http.ResponseWriter, r *http.Request) (ownership.ServerRequest, bool) {
 	var req ownership.ServerRequest
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxContractBody)).Decode(&req)
