--- a/examples/backend/server/contract.go
+++ b/examples/backend/server/contract.go
@@ -65,7 +65,7 @@
 }
 
 func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
-	req, ok := s.accept(w, r)
+	_, ok := s.accept(w, r)
 	if !ok {
 		return
 	}
