Count moved partitions once and register lease gauges once

Cause: a provisional assignment is recorded twice, when it takes effect and when the store has it, so its moves were counted twice; the gauge of each lease was built and offered to the registry ten times a second. Change: only assignments that the store has count; the gauge is registered when the registry lacks it. Measured: read from the code, no figure taken; go test -race -short ./internal/daemon ./internal/metrics passes. Conclusion: the churn counter agrees with the audit trail, which also enters stored assignments only.

--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -66,22 +66,29 @@
 	return list, err
 }
 
-// countMoves counts the partitions that an assignment in force gave a new owner.
-// Only the planner that made the assignment records it.
+// countMoves counts the partitions that an assignment gave a new owner. Only the
+// planner that made the assignment records it, once more when the store has a
+// provisional one, so that only the stored ones count.
 func (i *Instance) countMoves(rec ownership.Record) {
 	if rec.Event != "assignment.in_force" {
 		return
 	}
 	var service string
 	var changes int
+	var provisional bool
 	for n := 0; n+1 < len(rec.Fields); n += 2 {
 		switch rec.Fields[n] {
 		case "service":
 			service, _ = rec.Fields[n+1].(string)
 		case "changes":
 			changes, _ = rec.Fields[n+1].(int)
+		case "provisional":
+			provisional, _ = rec.Fields[n+1].(bool)
 		}
 	}
+	if provisional {
+		return
+	}
 	metrics.GetOrRegisterCounter("ownership.partitions_moved."+service, i.metrics).Inc(int64(changes))
 }
 
@@ -95,13 +102,22 @@
 		if a == nil {
 			continue
 		}
-		// A gauge of that name stays, and shows 0 once another instance has control.
-		_ = i.metrics.Register("ownership.lease_left_ms."+id, metrics.NewFunctionalGauge(func() int64 {
-			return i.runner.LeaseLeft(id).Milliseconds()
-		}))
+		i.showLease(id)
 		if h.State != ownership.TargetHeld {
 			lost := int64(len(a.PartitionsOf(name))) * elapsed.Milliseconds()
 			metrics.GetOrRegisterCounter("ownership.unavailable_ms."+service, i.metrics).Inc(lost)
 		}
 	}
 }
+
+// showLease registers the gauge of a target's lease once. The gauge stays, and
+// shows 0 when another instance has control.
+func (i *Instance) showLease(target string) {
+	name := "ownership.lease_left_ms." + target
+	if i.metrics.Get(name) != nil {
+		return
+	}
+	_ = i.metrics.Register(name, metrics.NewFunctionalGauge(func() int64 {
+		return i.runner.LeaseLeft(target).Milliseconds()
+	}))
+}
