Share the stoppable pause and keep the confirmation time once

Cause: the daemon and the table follower each had the same timer loop, the daemon twice; the follower kept the time of its confirmation in three fields, two of which could be derived from the third. Change: internal/wait has the pause; the follower has one atomic value. Conclusion: behaviour is the same with less state.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragegate/boragegate/internal/wait"
 	"github.com/boragegate/boragegate/ownership"
 	"github.com/boragegate/boragegate/table"
 )
@@ -90,12 +91,5 @@
 
 // sleep waits for the duration; it returns false when the instance ends.
 func (i *Instance) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-i.t.Dying():
-		return false
-	}
+	return wait.For(d, i.t.Dying())
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/boragegate/boragegate/internal/gateway"
+	"github.com/boragegate/boragegate/internal/wait"
 	"github.com/boragegate/boragegate/platform"
 )
 
@@ -20,7 +20,7 @@
 // ends first, the rest is cut off and counted in the log.
 func (i *Instance) Stop(ctx context.Context) error {
 	i.stopping.Store(true)
-	pause(ctx, i.opts.BalancerDelay)
+	wait.For(i.opts.BalancerDelay, ctx.Done())
 	handOver := i.runner.HandOver(ctx)
 	if handOver != nil {
 		i.logger.Warn().Str("event", "instance.hand_over_failed").Err(handOver).Send()
@@ -29,7 +29,7 @@
 		_ = r.Deregister(ctx, i.opts.ID)
 	}
 	if handOver == nil {
-		pause(ctx, recordsLinger)
+		wait.For(recordsLinger, ctx.Done())
 	}
 	i.shutdownServers(ctx)
 	err := i.gateway.Shutdown(ctx)
@@ -65,12 +65,3 @@
 	i.servers.Close()
 	_ = i.t.Wait()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/tablesync/exchange.go
+++ b/internal/tablesync/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/boragegate/boragegate/internal/wait"
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/ownership"
 )
@@ -98,9 +99,9 @@
 			reply.Data = f.data
 		}
 	}
-	if f.known {
+	if at := f.confirmation(); at != never {
 		// Rounded up, so that a confirmation never becomes younger on its way.
-		reply.ConfirmedAgeMS = (f.now() - f.confirmed).Milliseconds() + 1
+		reply.ConfirmedAgeMS = (f.now() - at).Milliseconds() + 1
 	}
 	f.mu.Unlock()
 	if ok {
@@ -154,12 +155,5 @@
 
 // sleep waits for the duration; it returns false when the follower is closed.
 func (f *Follower) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-f.t.Dying():
-		return false
-	}
+	return wait.For(d, f.t.Dying())
 }
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -70,12 +70,11 @@
 	start time.Time
 	t     tomb.Tomb
 
-	mu        sync.Mutex
-	current   *table.Table
-	data      []byte
-	confirmed lease.Instant
-	known     bool
-	// confirmedAt is confirmed, or never, for readers without the mutex.
+	mu      sync.Mutex
+	current *table.Table
+	data    []byte
+	// confirmedAt is the time of the last confirmation, or never. It is written
+	// with the mutex held and read without it.
 	confirmedAt atomic.Int64
 	// answered has the members that answered a request; nil once the first
 	// confirmation may count.
@@ -135,10 +134,13 @@
 	return f.current
 }
 
+// confirmation returns the time of the last confirmation, or never.
+func (f *Follower) confirmation() lease.Instant { return lease.Instant(f.confirmedAt.Load()) }
+
 // Confirmed reports whether the version in force was known to be the newest
 // within ConfirmationValid, and whether it was ever known to be.
 func (f *Follower) Confirmed() (recently, ever bool) {
-	at := lease.Instant(f.confirmedAt.Load())
+	at := f.confirmation()
 	ever = at != never
 	return ever && f.now()-at < ConfirmationValid, ever
 }
@@ -146,12 +148,11 @@
 // ConfirmedAge returns the time since the version in force was known to be the
 // newest, or -1 ms if it never was.
 func (f *Follower) ConfirmedAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.known {
+	at := f.confirmation()
+	if at == never {
 		return -time.Millisecond
 	}
-	return f.now() - f.confirmed
+	return f.now() - at
 }
 
 // StoreError returns the error of the last read of the store, or nil.
@@ -257,8 +258,7 @@
 	if f.current == nil || f.current.Version < version || !f.caughtUp() {
 		return
 	}
-	if !f.known || at > f.confirmed {
-		f.known, f.confirmed = true, at
+	if at > f.confirmation() {
 		f.confirmedAt.Store(int64(at))
 	}
 }
