--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -9,7 +9,7 @@
 	"github.com/boragegate/boragegate"
 	"github.com/boragegate/boragegate/internal/settings"
 	_ "github.com/boragegate/boragegate/internal/standard" // registers the stores
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -49,7 +49,7 @@
 	o := settings.Options{
 		StoreModules: boragegate.Modules("store"),
 		CheckStore: func(s settings.Store) error {
-			store, err := boragegate.LoadAs[platform.Store](t.Context(), s.Module, s.Config)
+			store, err := boragegate.LoadAs[store.Store](t.Context(), s.Module, s.Config)
 			if err != nil {
 				return err
 			}
--- a/examples/standin/main.go
+++ b/examples/standin/main.go
@@ -15,8 +15,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/boragegate/boragegate/platform/memory"
-	"github.com/boragegate/boragegate/platform/standin"
+	"github.com/boragegate/boragegate/store/memory"
+	"github.com/boragegate/boragegate/store/standin"
 )
 
 const readHeaderTimeout = 5 * time.Second
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -15,8 +15,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
 
 	_ "github.com/boragegate/boragegate/internal/seedtest" // the same cases in every run
 )
@@ -26,9 +26,9 @@
 	ginkgo.RunSpecs(t, "audit")
 }
 
-func open(store platform.Store, instance string, change func(*Config)) *Trail {
+func open(backing store.Store, instance string, change func(*Config)) *Trail {
 	ginkgo.GinkgoHelper()
-	cfg := Config{Store: store, Trail: "c1", Instance: instance, Incarnation: "x", ObjectBytes: minObjectBytes}
+	cfg := Config{Store: backing, Trail: "c1", Instance: instance, Incarnation: "x", ObjectBytes: minObjectBytes}
 	if change != nil {
 		change(&cfg)
 	}
@@ -52,11 +52,11 @@
 
 	ginkgo.It("writes each entry once and in order, whatever the store does and however often instances conflict", func(ctx ginkgo.SpecContext) {
 		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
-			store := memory.New(memory.Options{})
-			trails := []*Trail{open(store, "a", nil), open(store, "b", nil)}
+			backing := memory.New(memory.Options{})
+			trails := []*Trail{open(backing, "a", nil), open(backing, "b", nil)}
 			added := map[string][]string{}
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
-				store.SetFaults(memory.Faults{
+				backing.SetFaults(memory.Faults{
 					Down:        rapid.IntRange(0, 3).Draw(t, "down") == 0,
 					LoseReplies: rapid.IntRange(0, 2).Draw(t, "lose") == 0,
 					StaleReads:  rapid.Bool().Draw(t, "stale"),
@@ -69,7 +69,7 @@
 				}
 				_, _ = trail.writer.step(ctx)
 			}
-			store.SetFaults(memory.Faults{})
+			backing.SetFaults(memory.Faults{})
 			for _, trail := range trails {
 				for i := 0; trail.writer.pending(); i++ {
 					NewWithT(t).Expect(i).To(BeNumerically("<", 500), "no progress")
@@ -78,7 +78,7 @@
 				}
 			}
 			found := map[string][]string{}
-			objects, _, _ := store.List(ctx, Kind)
+			objects, _, _ := backing.List(ctx, Kind)
 			for i, o := range objects {
 				NewWithT(t).Expect(len(o.Value)).To(BeNumerically("<=", minObjectBytes))
 				for _, e := range parse(o, uint64(i)) {
@@ -92,9 +92,9 @@
 	})
 
 	ginkgo.It("keeps a bounded number of objects and goes on after its object was removed by another instance", func(ctx ginkgo.SpecContext) {
-		store := memory.New(memory.Options{})
+		backing := memory.New(memory.Options{})
 		few := func(c *Config) { c.Objects = 3 }
-		idle, busy := open(store, "a", few), open(store, "b", few)
+		idle, busy := open(backing, "a", few), open(backing, "b", few)
 		idle.Add(Entry{Event: "first"})
 		_, err := idle.writer.step(ctx)
 		Expect(err).NotTo(HaveOccurred())
@@ -102,11 +102,11 @@
 			busy.Add(Entry{Event: "e", Diff: strings.Repeat("d", maxDiffBytes)})
 		}
 		for busy.writer.pending() {
-			before := store.Counts().Writes()
+			before := backing.Counts().Writes()
 			_, err := busy.writer.step(ctx)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(store.Counts().Writes()-before).To(BeNumerically("<=", 1), "one write a step")
-			objects, _, err := store.List(ctx, Kind)
+			Expect(backing.Counts().Writes()-before).To(BeNumerically("<=", 1), "one write a step")
+			objects, _, err := backing.List(ctx, Kind)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(len(objects)).To(BeNumerically("<=", 4))
 		}
@@ -115,24 +115,24 @@
 			_, err = idle.writer.step(ctx)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		Expect(Read(ctx, store, "c1", Filter{Event: "last"})).To(HaveLen(1))
+		Expect(Read(ctx, backing, "c1", Filter{Event: "last"})).To(HaveLen(1))
 	})
 
 	ginkgo.It("enters what was dropped and what was late, so that a gap is visible", func(ctx ginkgo.SpecContext) {
 		clock := clockwork.NewFakeClock()
-		store := memory.New(memory.Options{Faults: memory.Faults{Down: true}})
-		trail := open(store, "a", func(c *Config) { c.Buffered = 2; c.Clock = clock })
+		backing := memory.New(memory.Options{Faults: memory.Faults{Down: true}})
+		trail := open(backing, "a", func(c *Config) { c.Buffered = 2; c.Clock = clock })
 		for range 5 {
 			trail.Add(Entry{Event: "e"})
 		}
 		trail.step()
 		clock.Advance(delayedAfter)
 		trail.step()
-		store.SetFaults(memory.Faults{})
+		backing.SetFaults(memory.Faults{})
 		for trail.writer.pending() {
 			trail.step()
 		}
-		got, err := Read(ctx, store, "c1", Filter{})
+		got, err := Read(ctx, backing, "c1", Filter{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ids(got)).To(Equal([]string{"a/x/4", "a/x/3", "a/x/2", "a/x/1"}))
 		Expect(got[0].Event).To(Equal(EventDelayed))
@@ -144,24 +144,24 @@
 
 	ginkgo.It("writes at most once a second and flushes at the stop", func(ctx ginkgo.SpecContext) {
 		clock := clockwork.NewFakeClock()
-		store := memory.New(memory.Options{})
-		trail := open(store, "a", func(c *Config) { c.Clock = clock })
+		backing := memory.New(memory.Options{})
+		trail := open(backing, "a", func(c *Config) { c.Clock = clock })
 		var tb tomb.Tomb
 		tb.Go(func() error { return trail.Run(&tb) })
 		trail.Add(Entry{Event: "e"})
-		Eventually(func() int64 { return store.Counts().Writes() }).Should(BeEquivalentTo(1))
+		Eventually(func() int64 { return backing.Counts().Writes() }).Should(BeEquivalentTo(1))
 		trail.Add(Entry{Event: "e"})
 		Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed())
-		Expect(store.Counts().Writes()).To(BeEquivalentTo(1))
+		Expect(backing.Counts().Writes()).To(BeEquivalentTo(1))
 		clock.Advance(writeInterval)
-		Eventually(func() int64 { return store.Counts().Writes() }).Should(BeEquivalentTo(2))
+		Eventually(func() int64 { return backing.Counts().Writes() }).Should(BeEquivalentTo(2))
 		trail.Add(Entry{Event: "e"})
 		Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed())
 		tb.Kill(nil)
 		// The wait of the running loop ends with the tomb; the wait before the last write is left.
-		Eventually(func() bool { clock.Advance(writeInterval); return !tb.Alive() && store.Counts().Writes() == 3 }).Should(BeTrue())
+		Eventually(func() bool { clock.Advance(writeInterval); return !tb.Alive() && backing.Counts().Writes() == 3 }).Should(BeTrue())
 		Expect(tb.Wait()).To(Succeed())
-		Expect(Read(ctx, store, "c1", Filter{})).To(HaveLen(3))
+		Expect(Read(ctx, backing, "c1", Filter{})).To(HaveLen(3))
 	})
 
 	ginkgo.It("waits longer after a large write, so that a stream of entries does not use up the byte budget", func() {
@@ -215,8 +215,8 @@
 	})
 
 	ginkgo.It("are found by service, key, event and time, newest first and page by page", func(ctx ginkgo.SpecContext) {
-		store := memory.New(memory.Options{})
-		trail := open(store, "a", nil)
+		backing := memory.New(memory.Options{})
+		trail := open(backing, "a", nil)
 		start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		for i := range 4 {
 			trail.Add(Entry{
@@ -225,13 +225,13 @@
 			})
 		}
 		trail.step()
-		_, err := store.Create(ctx, platform.Object{Kind: Kind, Name: objectName("c1", 9), Value: []byte("{\n")})
+		_, err := backing.Create(ctx, store.Object{Kind: Kind, Name: objectName("c1", 9), Value: []byte("{\n")})
 		Expect(err).NotTo(HaveOccurred())
-		_, err = store.Create(ctx, platform.Object{Kind: Kind, Name: "c1.note"})
+		_, err = backing.Create(ctx, store.Object{Kind: Kind, Name: "c1.note"})
 		Expect(err).NotTo(HaveOccurred())
 		read := func(f Filter) []Entry {
 			ginkgo.GinkgoHelper()
-			got, err := Read(context.Background(), store, "c1", f)
+			got, err := Read(context.Background(), backing, "c1", f)
 			Expect(err).NotTo(HaveOccurred())
 			return got
 		}
--- a/internal/audit/read.go
+++ b/internal/audit/read.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // entriesPerObject is larger than the number of lines that fit into an object;
@@ -38,8 +38,8 @@
 
 // Read returns the entries of a trail that the filter selects, newest first. It
 // makes one store call. A line that is not an entry is shown as EventUnreadable.
-func Read(ctx context.Context, store platform.Store, trail string, f Filter) ([]Entry, error) {
-	objects, _, err := store.List(ctx, Kind)
+func Read(ctx context.Context, backing store.Store, trail string, f Filter) ([]Entry, error) {
+	objects, _, err := backing.List(ctx, Kind)
 	if err != nil {
 		return nil, fmt.Errorf("read audit trail: %w", err)
 	}
@@ -62,7 +62,7 @@
 }
 
 // parse returns the entries of an object in order.
-func parse(o platform.Object, sequence uint64) []Entry {
+func parse(o store.Object, sequence uint64) []Entry {
 	var entries []Entry
 	for line := range bytes.Lines(o.Value) {
 		n := len(entries)
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 const (
@@ -43,7 +43,7 @@
 
 // Config configures a Trail.
 type Config struct {
-	Store platform.Store
+	Store store.Store
 	// Trail is the name that the instances of one trail share: the cell.
 	Trail string
 	// Instance is the ID of this instance.
--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -12,7 +12,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // Kind is the kind of the trail's objects. Their names are "<trail>.<sequence>".
@@ -37,7 +37,7 @@
 // writer is the state of the trail's goroutine: the newest object as far as
 // known, and the batch whose outcome is open. Each step makes at most one write.
 type writer struct {
-	store      platform.Store
+	store      store.Store
 	trail      string
 	maxBytes   int
 	maxObjects uint64
@@ -48,7 +48,7 @@
 	located  bool
 	sequence uint64
 	// current is the object to append to; its Version is 0 if it does not exist yet.
-	current platform.Object
+	current store.Object
 	// oldest is the lowest sequence that may still exist.
 	oldest uint64
 	// batch is kept unchanged, on the same object at the same version, until its
@@ -100,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	w.sequence, w.oldest, w.current = 1, 1, platform.Object{}
+	w.sequence, w.oldest, w.current = 1, 1, store.Object{}
 	found := false
 	for _, o := range objects { // in order of name
 		sequence, ok := parseName(w.trail, o.Name)
@@ -125,7 +125,7 @@
 			return nil
 		}
 		next, err := w.store.Get(ctx, Kind, objectName(w.trail, w.sequence+1))
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return err
 		}
 		w.sequence++
@@ -135,7 +135,7 @@
 
 // write appends the batch to the current object.
 func (w *writer) write(ctx context.Context) (int, error) {
-	obj := platform.Object{
+	obj := store.Object{
 		Kind: Kind, Name: objectName(w.trail, w.sequence), Version: w.current.Version,
 		Writer: uuid.NewString(), Value: bytes.Clone(w.current.Value),
 	}
@@ -153,10 +153,10 @@
 	case err == nil:
 		w.current = got
 		return w.done(), nil
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists):
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrExists):
 		w.reread = true
 		return 0, nil
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		// Another instance removed the object because the trail went on.
 		w.located = false
 		w.notWritten()
@@ -168,14 +168,14 @@
 // read reads the current object after a conflict and tells whether the batch is in it.
 func (w *writer) read(ctx context.Context) (int, error) {
 	got, err := w.store.Get(ctx, Kind, objectName(w.trail, w.sequence))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, w.missing(ctx)
 	}
 	if err != nil {
 		return 0, err
 	}
 	if got.Version <= w.current.Version {
-		return 0, fmt.Errorf("read %s at version %d after a conflict at %d: %w", got.Name, got.Version, w.current.Version, platform.ErrUnavailable)
+		return 0, fmt.Errorf("read %s at version %d after a conflict at %d: %w", got.Name, got.Version, w.current.Version, store.ErrUnavailable)
 	}
 	w.current, w.reread = got, false
 	// A batch is written as a whole, so its first entry stands for all. The ID in
@@ -207,7 +207,7 @@
 		}
 	}
 	if !later {
-		return fmt.Errorf("%s is missing after a conflict: %w", objectName(w.trail, w.sequence), platform.ErrUnavailable)
+		return fmt.Errorf("%s is missing after a conflict: %w", objectName(w.trail, w.sequence), store.ErrUnavailable)
 	}
 	w.reread, w.located = false, false
 	w.notWritten()
@@ -232,7 +232,7 @@
 	if err == nil {
 		err = w.store.Delete(ctx, Kind, name, obj.Version)
 	}
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, store.ErrNotFound) {
 		w.oldest++
 		return nil
 	}
--- a/internal/control/actions.go
+++ b/internal/control/actions.go
@@ -5,7 +5,7 @@
 	"errors"
 
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 func (r *Runner) do(a ownership.Action) {
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(r.context(), r.cfg.StoreTimeout)
 	defer cancel()
 	obj, err := r.put(ctx, a.Object)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) || errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrExists) || errors.Is(err, store.ErrOutcomeUnknown) {
 		if current, readErr := r.cfg.Store.Get(ctx, a.Object.Kind, a.Object.Name); readErr == nil {
 			obj = current
 		}
@@ -68,7 +68,7 @@
 	r.Post(ownership.StoreReplied{ID: a.ID, Object: obj, Err: err})
 }
 
-func (r *Runner) put(ctx context.Context, obj platform.Object) (platform.Object, error) {
+func (r *Runner) put(ctx context.Context, obj store.Object) (store.Object, error) {
 	if obj.Version == 0 {
 		return r.cfg.Store.Create(ctx, obj)
 	}
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -15,7 +15,7 @@
 	"github.com/boragegate/boragegate/internal/route"
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -54,7 +54,7 @@
 // Config holds what a runner needs.
 type Config struct {
 	Core       ownership.Config
-	Store      platform.Store
+	Store      store.Store
 	Servers    Servers
 	Peers      Peers
 	Admissions Admissions
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -14,7 +14,7 @@
 	"github.com/boragegate/boragegate/internal/mtls"
 	"github.com/boragegate/boragegate/internal/settings"
 	"github.com/boragegate/boragegate/internal/standard"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // SettingsOptions are the checks of settings against the registered modules.
@@ -24,7 +24,7 @@
 
 // checkStore loads the module of the store, which opens no connection.
 func checkStore(s settings.Store) error {
-	store, err := boragegate.LoadAs[platform.Store](context.Background(), s.Module, s.Config)
+	store, err := boragegate.LoadAs[store.Store](context.Background(), s.Module, s.Config)
 	if err != nil {
 		return err
 	}
@@ -79,7 +79,7 @@
 
 // options turns settings into the options of an instance.
 func options(ctx context.Context, s *settings.Daemon, log *logging.Log) (Options, error) {
-	store, err := boragegate.LoadAs[platform.Store](ctx, s.Store.Module, s.Store.Config)
+	store, err := boragegate.LoadAs[store.Store](ctx, s.Store.Module, s.Store.Config)
 	if err != nil {
 		return Options{}, fmt.Errorf("store: %w", err)
 	}
--- a/internal/daemon/cut_test.go
+++ b/internal/daemon/cut_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/boragegate/boragegate/internal/promise"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store/memory"
 )
 
 var _ = Describe("an instance that is cut off", func() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,7 @@
 	"github.com/boragegate/boragegate/internal/tablesync"
 	"github.com/boragegate/boragegate/ownership"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
@@ -57,7 +57,7 @@
 	Listen Addresses
 	// Advertise has the addresses that other instances use; empty ones are those of Listen.
 	Advertise Addresses
-	Store     platform.Store
+	Store     store.Store
 	// Plain turns authentication between instances off; otherwise Keys is used.
 	Plain bool
 	Keys  mtls.Files
@@ -127,7 +127,7 @@
 	opts    Options
 	logger  zerolog.Logger
 	metrics metrics.Registry
-	store   platform.Store // counts the calls of opts.Store
+	store   store.Store // counts the calls of opts.Store
 
 	routes   route.Holder
 	gateway  *gateway.Gateway
@@ -281,9 +281,9 @@
 
 // Start starts to take part in the cell and to serve.
 func (i *Instance) Start(ctx context.Context) error {
-	if r, ok := i.opts.Store.(platform.Registrar); ok {
+	if r, ok := i.opts.Store.(store.Registrar); ok {
 		m := i.self()
-		in := platform.Instance{ID: m.ID, Zone: m.Zone, State: platform.Live, PeerAddress: m.PeerAddress, ForwardAddress: m.ForwardAddress}
+		in := store.Instance{ID: m.ID, Zone: m.Zone, State: store.Live, PeerAddress: m.PeerAddress, ForwardAddress: m.ForwardAddress}
 		if err := r.Register(ctx, in); err != nil {
 			i.logger.Warn().Str("event", "instance.register_failed").Err(err).Send()
 		}
--- a/internal/daemon/measure_test.go
+++ b/internal/daemon/measure_test.go
@@ -14,7 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store/memory"
 )
 
 var (
--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -8,12 +8,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // countedStore counts the calls of a store by kind of call, and those that failed.
 type countedStore struct {
-	platform.Store
+	store.Store
 	registry metrics.Registry
 }
 
@@ -24,43 +24,43 @@
 	}
 }
 
-// Get implements platform.Store.
-func (s countedStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements store.Store.
+func (s countedStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	obj, err := s.Store.Get(ctx, kind, name)
 	s.count("get", err)
 	return obj, err
 }
 
-// List implements platform.Store.
-func (s countedStore) List(ctx context.Context, kind string) ([]platform.Object, platform.Version, error) {
+// List implements store.Store.
+func (s countedStore) List(ctx context.Context, kind string) ([]store.Object, store.Version, error) {
 	list, version, err := s.Store.List(ctx, kind)
 	s.count("list", err)
 	return list, version, err
 }
 
-// Create implements platform.Store.
-func (s countedStore) Create(ctx context.Context, obj platform.Object) (platform.Object, error) {
+// Create implements store.Store.
+func (s countedStore) Create(ctx context.Context, obj store.Object) (store.Object, error) {
 	obj, err := s.Store.Create(ctx, obj)
 	s.count("create", err)
 	return obj, err
 }
 
-// Update implements platform.Store.
-func (s countedStore) Update(ctx context.Context, obj platform.Object) (platform.Object, error) {
+// Update implements store.Store.
+func (s countedStore) Update(ctx context.Context, obj store.Object) (store.Object, error) {
 	obj, err := s.Store.Update(ctx, obj)
 	s.count("update", err)
 	return obj, err
 }
 
-// Delete implements platform.Store.
-func (s countedStore) Delete(ctx context.Context, kind, name string, version platform.Version) error {
+// Delete implements store.Store.
+func (s countedStore) Delete(ctx context.Context, kind, name string, version store.Version) error {
 	err := s.Store.Delete(ctx, kind, name, version)
 	s.count("delete", err)
 	return err
 }
 
-// Instances implements platform.Store.
-func (s countedStore) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements store.Store.
+func (s countedStore) Instances(ctx context.Context) ([]store.Instance, error) {
 	list, err := s.Store.Instances(ctx)
 	s.count("instances", err)
 	return list, err
--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/boragegate/boragegate/internal/control"
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // network drops what an isolated instance sends to and receives from other
@@ -108,7 +108,7 @@
 
 // cutStore is the store as one instance reaches it.
 type cutStore struct {
-	platform.Store
+	store.Store
 	mu sync.Mutex
 	is bool
 }
@@ -123,57 +123,57 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.is {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-func (s *cutStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *cutStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	if err := s.check(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.Store.Get(ctx, kind, name)
 }
 
-func (s *cutStore) List(ctx context.Context, kind string) ([]platform.Object, platform.Version, error) {
+func (s *cutStore) List(ctx context.Context, kind string) ([]store.Object, store.Version, error) {
 	if err := s.check(); err != nil {
 		return nil, 0, err
 	}
 	return s.Store.List(ctx, kind)
 }
 
-func (s *cutStore) Create(ctx context.Context, obj platform.Object) (platform.Object, error) {
+func (s *cutStore) Create(ctx context.Context, obj store.Object) (store.Object, error) {
 	if err := s.check(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.Store.Create(ctx, obj)
 }
 
-func (s *cutStore) Update(ctx context.Context, obj platform.Object) (platform.Object, error) {
+func (s *cutStore) Update(ctx context.Context, obj store.Object) (store.Object, error) {
 	if err := s.check(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.Store.Update(ctx, obj)
 }
 
-func (s *cutStore) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (s *cutStore) Instances(ctx context.Context) ([]store.Instance, error) {
 	if err := s.check(); err != nil {
 		return nil, err
 	}
 	return s.Store.Instances(ctx)
 }
 
-// Register and Deregister implement platform.Registrar.
-func (s *cutStore) Register(ctx context.Context, in platform.Instance) error {
+// Register and Deregister implement store.Registrar.
+func (s *cutStore) Register(ctx context.Context, in store.Instance) error {
 	if err := s.check(); err != nil {
 		return err
 	}
-	return s.Store.(platform.Registrar).Register(ctx, in)
+	return s.Store.(store.Registrar).Register(ctx, in)
 }
 
 func (s *cutStore) Deregister(ctx context.Context, id string) error {
 	if err := s.check(); err != nil {
 		return err
 	}
-	return s.Store.(platform.Registrar).Deregister(ctx, id)
+	return s.Store.(store.Registrar).Deregister(ctx, id)
 }
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -7,7 +7,7 @@
 	"github.com/boragegate/boragegate/internal/operator/api"
 	"github.com/boragegate/boragegate/ownership"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -151,7 +151,7 @@
 	v := i.runner.View()
 	a := v.Assignments[service]
 	if a == nil {
-		return api.Owners{}, platform.ErrNotFound
+		return api.Owners{}, store.ErrNotFound
 	}
 	out := api.Owners{Service: service, Version: a.Version, Provisional: slices.Contains(v.Provisional, service)}
 	for p := range a.Owner {
@@ -179,7 +179,7 @@
 	v := i.runner.View()
 	a, t := v.Assignments[service], i.follower.Table()
 	if a == nil || t == nil {
-		return api.Explanation{}, platform.ErrNotFound
+		return api.Explanation{}, store.ErrNotFound
 	}
 	p := placement.PartitionOf(service, key, len(a.Owner))
 	e := api.Explanation{
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -6,7 +6,7 @@
 
 	"github.com/boragegate/boragegate/internal/gateway"
 	"github.com/boragegate/boragegate/internal/wait"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // recordsLinger is the time for which a stopping instance still answers other
@@ -25,7 +25,7 @@
 	if handOver != nil {
 		i.logger.Warn().Str("event", "instance.hand_over_failed").Err(handOver).Send()
 	}
-	if r, ok := i.opts.Store.(platform.Registrar); ok {
+	if r, ok := i.opts.Store.(store.Registrar); ok {
 		_ = r.Deregister(ctx, i.opts.ID)
 	}
 	if handOver == nil {
--- a/internal/daemon/storefault_test.go
+++ b/internal/daemon/storefault_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/boragegate/boragegate/internal/promise"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
 
@@ -113,7 +113,7 @@
 				winner = 1
 			}
 			Expect(errs[winner]).NotTo(HaveOccurred())
-			Expect(errors.Is(errs[1-winner], platform.ErrConflict)).To(BeTrue(), "%v", errs[1-winner])
+			Expect(errors.Is(errs[1-winner], store.ErrConflict)).To(BeTrue(), "%v", errs[1-winner])
 			rec, err := s.live()[2].Tables().Get(context.Background())
 			Expect(err).NotTo(HaveOccurred())
 			Expect(rec.Version).To(Equal(base + 1))
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
 
@@ -20,7 +20,7 @@
 
 // ErrNotInContact means that the instance does not reach a majority of its cell
 // and therefore accepts no change.
-var ErrNotInContact = fmt.Errorf("this instance does not reach a majority of its cell: %w", platform.ErrUnavailable)
+var ErrNotInContact = fmt.Errorf("this instance does not reach a majority of its cell: %w", store.ErrUnavailable)
 
 // announcer implements tablestore.Announcer: a change is accepted only by an
 // instance in contact, and spread before the operator is told.
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -14,7 +14,7 @@
 	"github.com/boragegate/boragegate/internal/promise"
 	"github.com/boragegate/boragegate/internal/standard"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store/memory"
 	"github.com/boragegate/boragegate/table"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -42,7 +42,7 @@
 }
 
 // Daemon is what the API needs of the instance. Methods return quickly unless
-// they take a context, and return platform.ErrNotFound for an unknown service.
+// they take a context, and return store.ErrNotFound for an unknown service.
 type Daemon interface {
 	// Status returns the state of the instance.
 	Status() api.Status
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -17,8 +17,8 @@
 	"github.com/boragegate/boragegate/internal/operator"
 	"github.com/boragegate/boragegate/internal/operator/api"
 	"github.com/boragegate/boragegate/internal/operator/operatortest"
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
 
@@ -182,7 +182,7 @@
 type unknownTables struct{ operator.Tables }
 
 func (unknownTables) Apply(context.Context, tablestore.Request) (*tablestore.Result, error) {
-	return nil, &tablestore.UnknownError{Version: 2, Writer: "w", Cause: platform.ErrUnavailable}
+	return nil, &tablestore.UnknownError{Version: 2, Writer: "w", Cause: store.ErrUnavailable}
 }
 
 func basic() string {
--- a/internal/operator/operatortest/fake.go
+++ b/internal/operator/operatortest/fake.go
@@ -15,8 +15,8 @@
 
 	"github.com/boragegate/boragegate/internal/operator"
 	"github.com/boragegate/boragegate/internal/operator/api"
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
 	"github.com/boragegate/boragegate/table"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
@@ -133,7 +133,7 @@
 // Owners implements operator.Daemon.
 func (d *Daemon) Owners(service string) (api.Owners, error) {
 	if service != "route" {
-		return api.Owners{}, fmt.Errorf("service %q: %w", service, platform.ErrNotFound)
+		return api.Owners{}, fmt.Errorf("service %q: %w", service, store.ErrNotFound)
 	}
 	return api.Owners{
 		Service: "route", Version: 4294967298,
@@ -145,7 +145,7 @@
 // Explain implements operator.Daemon.
 func (d *Daemon) Explain(service, key string) (api.Explanation, error) {
 	if service != "route" {
-		return api.Explanation{}, fmt.Errorf("service %q: %w", service, platform.ErrNotFound)
+		return api.Explanation{}, fmt.Errorf("service %q: %w", service, store.ErrNotFound)
 	}
 	return api.Explanation{
 		Service: service, Key: key, Partition: 12, Target: "r1", Address: "10.0.1.1:8080", Zone: "buda",
@@ -180,7 +180,7 @@
 func (d *Daemon) Forget(_ context.Context, instances []string) error {
 	for _, id := range instances {
 		if id != "i3" {
-			return fmt.Errorf("instance %s: %w", id, platform.ErrNotFound)
+			return fmt.Errorf("instance %s: %w", id, store.ErrNotFound)
 		}
 	}
 	return nil
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -11,7 +11,7 @@
 
 	"github.com/boragegate/boragegate/finding"
 	"github.com/boragegate/boragegate/internal/operator/api"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
 
@@ -76,11 +76,11 @@
 		status int
 		code   api.Code
 	}{
-		{platform.ErrNotFound, http.StatusNotFound, api.CodeNotFound},
-		{platform.ErrConflict, http.StatusConflict, api.CodeConflict},
-		{platform.ErrTooLarge, http.StatusRequestEntityTooLarge, api.CodeTooLarge},
-		{platform.ErrOutcomeUnknown, http.StatusGatewayTimeout, api.CodeUnknown},
-		{platform.ErrUnavailable, http.StatusServiceUnavailable, api.CodeUnavailable},
+		{store.ErrNotFound, http.StatusNotFound, api.CodeNotFound},
+		{store.ErrConflict, http.StatusConflict, api.CodeConflict},
+		{store.ErrTooLarge, http.StatusRequestEntityTooLarge, api.CodeTooLarge},
+		{store.ErrOutcomeUnknown, http.StatusGatewayTimeout, api.CodeUnknown},
+		{store.ErrUnavailable, http.StatusServiceUnavailable, api.CodeUnavailable},
 		{tablestore.ErrStaleRead, http.StatusServiceUnavailable, api.CodeUnavailable},
 		{context.DeadlineExceeded, http.StatusServiceUnavailable, api.CodeUnavailable},
 		{context.Canceled, http.StatusServiceUnavailable, api.CodeUnavailable},
--- a/internal/operator/reads.go
+++ b/internal/operator/reads.go
@@ -10,7 +10,7 @@
 
 	"github.com/boragegate/boragegate/internal/metrics"
 	"github.com/boragegate/boragegate/internal/operator/api"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 func (s *server) status(w http.ResponseWriter, _ bunrouter.Request) error {
@@ -33,12 +33,12 @@
 			return send(w, []api.Service{v})
 		}
 	}
-	return serviceError(name, platform.ErrNotFound)
+	return serviceError(name, store.ErrNotFound)
 }
 
 // serviceError says which service the instance does not know.
 func serviceError(name string, err error) error {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return problem(http.StatusNotFound, api.CodeNotFound, "the table in force has no service "+strconv.Quote(name))
 	}
 	return err
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -12,7 +12,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/boragegate/boragegate/internal/operator/api"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
@@ -42,7 +42,7 @@
 
 // tableError says in plain words that there is no table.
 func tableError(err error) error {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return problem(http.StatusNotFound, api.CodeNotFound, "there is no table yet")
 	}
 	return err
@@ -54,7 +54,7 @@
 		return badRequest("the version is not a number")
 	}
 	r, err := s.Tables.Version(req.Context(), v)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return problem(http.StatusNotFound, api.CodeNotFound, fmt.Sprintf("the history has no version %d", v))
 	}
 	if err != nil {
--- a/internal/standard/standard.go
+++ b/internal/standard/standard.go
@@ -6,8 +6,8 @@
 	"github.com/boragegate/boragegate"
 	"github.com/boragegate/boragegate/placement"
 
-	_ "github.com/boragegate/boragegate/platform/httpstore" // store.http
-	_ "github.com/boragegate/boragegate/platform/memory"    // store.memory
+	_ "github.com/boragegate/boragegate/store/httpstore" // store.http
+	_ "github.com/boragegate/boragegate/store/memory"    // store.memory
 )
 
 // DefaultPlacement is the ID of the placement policy that is used by default.
--- a/internal/tablesync/follower.go
+++ b/internal/tablesync/follower.go
@@ -18,7 +18,7 @@
 
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -51,7 +51,7 @@
 // Config holds what a follower needs.
 type Config struct {
 	Self  string
-	Store platform.Store
+	Store store.Store
 	Peers Peers
 	// Members returns the members of the cell.
 	Members func() []ownership.Member
@@ -180,7 +180,7 @@
 func (f *Follower) Refresh(ctx context.Context) error {
 	begin := f.now()
 	obj, err := f.cfg.Store.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
--- a/internal/tablesync/follower_test.go
+++ b/internal/tablesync/follower_test.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/boragegate/boragegate/ownership"
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -48,9 +48,9 @@
 		members []ownership.Member
 		adopted map[string][]uint64
 	)
-	join := func(id string, store platform.Store) *Follower {
+	join := func(id string, backing store.Store) *Follower {
 		f := New(Config{
-			Self: id, Store: store, Peers: sender{net, id}, Logger: zerolog.Nop(), ReadTimeout: time.Second,
+			Self: id, Store: backing, Peers: sender{net, id}, Logger: zerolog.Nop(), ReadTimeout: time.Second,
 			Members: func() []ownership.Member { return members },
 			Adopt:   func(t *table.Table) { adopted[id] = append(adopted[id], t.Version) },
 			Report:  func() []ownership.TargetStatus { return nil },
--- a/load.go
+++ b/load.go
@@ -50,7 +50,7 @@
 	return value, nil
 }
 
-// LoadAs is Load for a module that must implement T, for example platform.Store.
+// LoadAs is Load for a module that must implement T, for example store.Store.
 func LoadAs[T any](ctx context.Context, id string, raw json.RawMessage) (T, error) {
 	var none T
 	value, err := Load(ctx, id, raw)
--- a/ownership/action.go
+++ b/ownership/action.go
@@ -5,7 +5,7 @@
 
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // ErrStaleTerm means that a server has seen a higher term.
@@ -25,7 +25,7 @@
 // carries the object that the store has now, if it could be read.
 type WriteObject struct {
 	ID     uint64
-	Object platform.Object
+	Object store.Object
 }
 
 // SendMessage sends a message to a peer. It may be lost.
--- a/ownership/assignment.go
+++ b/ownership/assignment.go
@@ -7,7 +7,7 @@
 
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // serviceState is what a member knows of the assignment of a leased service.
@@ -146,7 +146,7 @@
 	}
 }
 
-func (c *Core) observeAssignment(sl *slot, o platform.Object) {
+func (c *Core) observeAssignment(sl *slot, o store.Object) {
 	a := &placement.Assignment{}
 	if json.Unmarshal(o.Value, a) != nil || a.Service != sl.service || len(a.Owner) != len(a.Epoch) {
 		c.record(false, "store.malformed", "kind", o.Kind, "name", o.Name)
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -7,7 +7,7 @@
 
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/membership"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -28,7 +28,7 @@
 
 	table     *table.Table
 	rows      map[string]table.Row // by "service/target"; rows that left the table are kept
-	instances map[string]platform.InstanceState
+	instances map[string]store.InstanceState
 
 	contact   *membership.Tracker
 	nextBeat  lease.Instant
@@ -65,7 +65,7 @@
 func New(cfg Config) *Core {
 	cfg.Self.Incarnation = cfg.Incarnation
 	c := &Core{
-		cfg: cfg, rows: map[string]table.Row{}, instances: map[string]platform.InstanceState{},
+		cfg: cfg, rows: map[string]table.Row{}, instances: map[string]store.InstanceState{},
 		lastStamp: map[string]lease.Stamp{}, acksSent: map[string]ackSent{}, terms: map[string]uint64{}, services: map[string]*serviceState{},
 		ops: map[uint64]*slot{}, held: map[string]*holding{}, returning: true,
 		contact: membership.New(membership.Config{
@@ -178,7 +178,7 @@
 	}
 }
 
-func (c *Core) onInstances(list []platform.Instance) {
+func (c *Core) onInstances(list []store.Instance) {
 	clear(c.instances)
 	for _, in := range list {
 		c.instances[in.ID] = in.State
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -5,7 +5,7 @@
 
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -19,7 +19,7 @@
 type TableObserved struct{ Table *table.Table }
 
 // InstancesListed reports the platform's lagging list of instances.
-type InstancesListed struct{ Instances []platform.Instance }
+type InstancesListed struct{ Instances []store.Instance }
 
 // MessageReceived is a message from a peer, authenticated as From.
 type MessageReceived struct {
@@ -32,8 +32,8 @@
 	// ID is the ID of the action.
 	ID uint64
 	// Object is what the store has now, if known.
-	Object platform.Object
-	// Err is nil or wraps one of the errors of package platform.
+	Object store.Object
+	// Err is nil or wraps one of the errors of package store.
 	Err error
 }
 
--- a/ownership/fakes_test.go
+++ b/ownership/fakes_test.go
@@ -10,7 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/boragegate/boragegate/lease"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -19,28 +19,28 @@
 // fakeStore is the platform's store with the failures that tests ask for.
 type fakeStore struct {
 	w          *world
-	objects    map[string]platform.Object
-	version    platform.Version
+	objects    map[string]store.Object
+	version    store.Version
 	down       bool
 	slow       time.Duration
 	loseReply  int  // number of write replies still to lose
 	blindWrite bool // guard off: writes are not conditional
 }
 
-func (s *fakeStore) call(n *node, id uint64, o platform.Object, write bool) {
+func (s *fakeStore) call(n *node, id uint64, o store.Object, write bool) {
 	w := s.w
 	w.calls[o.Kind]++
-	answer := func(o platform.Object, err error) {
+	answer := func(o store.Object, err error) {
 		w.after(w.delay(), func() { n.step(StoreReplied{ID: id, Object: o, Err: err}) })
 	}
 	if w.cuts[[2]string{n.id, "store"}] {
-		w.after(time.Second, func() { n.step(StoreReplied{ID: id, Err: platform.ErrUnavailable}) })
+		w.after(time.Second, func() { n.step(StoreReplied{ID: id, Err: store.ErrUnavailable}) })
 		return
 	}
 	w.after(w.delay()+2*time.Millisecond+s.slow, func() {
 		switch {
 		case s.down:
-			answer(platform.Object{}, platform.ErrUnavailable)
+			answer(store.Object{}, store.ErrUnavailable)
 		case !write:
 			answer(s.get(o))
 		default:
@@ -48,26 +48,26 @@
 			if s.loseReply > 0 {
 				s.loseReply--
 				w.logf("store reply lost writer=%s", o.Writer)
-				got, err = platform.Object{}, platform.ErrOutcomeUnknown
+				got, err = store.Object{}, store.ErrOutcomeUnknown
 			}
 			answer(got, err)
 		}
 	})
 }
 
-func key(o platform.Object) string { return o.Kind + "/" + o.Name }
+func key(o store.Object) string { return o.Kind + "/" + o.Name }
 
-func (s *fakeStore) get(o platform.Object) (platform.Object, error) {
+func (s *fakeStore) get(o store.Object) (store.Object, error) {
 	if got, ok := s.objects[key(o)]; ok {
 		return got, nil
 	}
-	return platform.Object{}, platform.ErrNotFound
+	return store.Object{}, store.ErrNotFound
 }
 
-func (s *fakeStore) put(o platform.Object) (platform.Object, error) {
+func (s *fakeStore) put(o store.Object) (store.Object, error) {
 	have, ok := s.objects[key(o)]
 	if ok && have.Version != o.Version && !s.blindWrite {
-		return have, platform.ErrConflict
+		return have, store.ErrConflict
 	}
 	before := s.recordVersion(o.Kind, o.Name)
 	s.checkTerms(o)
@@ -81,7 +81,7 @@
 }
 
 // checkTerms checks that the terms of a cell record only rise.
-func (s *fakeStore) checkTerms(o platform.Object) {
+func (s *fakeStore) checkTerms(o store.Object) {
 	var cell Cell
 	if o.Kind != kindCell || json.Unmarshal(o.Value, &cell) != nil {
 		return
--- a/ownership/join.go
+++ b/ownership/join.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/boragegate/boragegate/lease"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // joinState is the state of a process that is not a member yet.
@@ -68,7 +68,7 @@
 // earlier process of this or of another joining instance is dead.
 func (c *Core) recordedDead() bool {
 	return !slices.ContainsFunc(c.cell.Members, func(m Member) bool {
-		return m.ID != c.cfg.Self.ID && !c.joining.rejoined[m.ID] && c.instances[m.ID] == platform.Live
+		return m.ID != c.cfg.Self.ID && !c.joining.rejoined[m.ID] && c.instances[m.ID] == store.Live
 	})
 }
 
--- a/ownership/plan_cell.go
+++ b/ownership/plan_cell.go
@@ -4,7 +4,7 @@
 	"slices"
 	"strings"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // joinerValid is the number of join intervals for which a request to join counts.
@@ -252,7 +252,7 @@
 		return true
 	}
 	lost, _ := c.lost(id)
-	if !lost || !c.joining.listed || c.instances[id] == platform.Live || c.now < c.plan.removedAt+c.cfg.RemoveInterval {
+	if !lost || !c.joining.listed || c.instances[id] == store.Live || c.now < c.plan.removedAt+c.cfg.RemoveInterval {
 		return false
 	}
 	c.plan.removedAt = c.now
--- a/ownership/search_test.go
+++ b/ownership/search_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -55,7 +55,7 @@
 func (s *searchState) do(i int, a Action) {
 	switch e := a.(type) {
 	case ReadObject:
-		o, err := s.w.store.get(platform.Object{Kind: e.Kind, Name: e.Name})
+		o, err := s.w.store.get(store.Object{Kind: e.Kind, Name: e.Name})
 		s.queue(delivery{core: i, ev: StoreReplied{ID: e.ID, Object: o, Err: err}})
 	case WriteObject:
 		s.queue(delivery{core: i, act: e})
@@ -108,7 +108,7 @@
 	case WriteObject:
 		o, err := s.w.store.put(e.Object)
 		if lose {
-			o, err = platform.Object{}, platform.ErrOutcomeUnknown
+			o, err = store.Object{}, store.ErrOutcomeUnknown
 		}
 		s.step(d.core, StoreReplied{ID: e.ID, Object: o, Err: err})
 	case CallServer:
--- a/ownership/store.go
+++ b/ownership/store.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/boragegate/boragegate/lease"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // Kinds of the objects that the core reads and writes.
@@ -25,7 +25,7 @@
 	kind, name string
 	service    string
 	// version is the store's newest known version; 0 before the first read and if absent.
-	version platform.Version
+	version store.Version
 	// read says that the object was read since the start of this process.
 	read    bool
 	op      uint64
@@ -60,7 +60,7 @@
 	}
 	s.op, s.issued, s.writing = c.nextID(), c.now, version
 	c.ops[s.op] = s
-	c.emit(WriteObject{ID: s.op, Object: platform.Object{
+	c.emit(WriteObject{ID: s.op, Object: store.Object{
 		Kind: s.kind, Name: s.name, Version: s.version, Writer: c.writer(version), Value: value,
 	}})
 }
@@ -100,13 +100,13 @@
 	delete(c.ops, e.ID)
 	s.op = 0
 	wrote := s.writing
-	known := e.Object.Version > 0 || e.Err == nil || errors.Is(e.Err, platform.ErrNotFound)
+	known := e.Object.Version > 0 || e.Err == nil || errors.Is(e.Err, store.ErrNotFound)
 	s.failed = !known
-	if errors.Is(e.Err, platform.ErrConflict) && e.Object.Version == 0 {
+	if errors.Is(e.Err, store.ErrConflict) && e.Object.Version == 0 {
 		s.read = false
 	}
 	if !known {
-		s.doubt = s.doubt || wrote > 0 && !errors.Is(e.Err, platform.ErrUnavailable)
+		s.doubt = s.doubt || wrote > 0 && !errors.Is(e.Err, store.ErrUnavailable)
 		s.retryAt = c.now + c.cfg.StoreRetry
 		return
 	}
@@ -131,7 +131,7 @@
 }
 
 // observe adopts what the store has.
-func (c *Core) observe(s *slot, o platform.Object) {
+func (c *Core) observe(s *slot, o store.Object) {
 	switch s.kind {
 	case kindCell:
 		cell := &Cell{}
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/placement"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -26,7 +26,7 @@
 	nodes   map[string]*node
 	servers map[string]*fakeServer
 	table   *table.Table
-	listed  map[string]platform.Instance
+	listed  map[string]store.Instance
 	cuts    map[[2]string]bool          // from, to
 	last    map[[2]string]time.Duration // delivery of the newest message of a link
 	jitter  time.Duration
@@ -84,11 +84,11 @@
 func newWorld(seed int64) *world {
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), nodes: map[string]*node{}, servers: map[string]*fakeServer{},
-		table: &table.Table{Version: 1}, listed: map[string]platform.Instance{}, cuts: map[[2]string]bool{}, last: map[[2]string]time.Duration{},
+		table: &table.Table{Version: 1}, listed: map[string]store.Instance{}, cuts: map[[2]string]bool{}, last: map[[2]string]time.Duration{},
 		jitter: 200 * time.Microsecond, quiet: map[string]bool{}, terms: map[string]uint64{}, epochs: map[string]uint64{},
 		messages: map[string]int{}, bytes: map[string]int{}, calls: map[string]int{},
 	}
-	w.store = &fakeStore{w: w, objects: map[string]platform.Object{}}
+	w.store = &fakeStore{w: w, objects: map[string]store.Object{}}
 	return w
 }
 
@@ -130,7 +130,7 @@
 	cfg.NewPolicy = func(string) placement.Policy { return evenPolicy{} }
 	n := &node{w: w, id: id, core: New(cfg), started: w.now - time.Second}
 	w.nodes[id] = n
-	w.listed[id] = platform.Instance{ID: id, Zone: zone, State: platform.Live}
+	w.listed[id] = store.Instance{ID: id, Zone: zone, State: store.Live}
 	n.step(TableObserved{Table: w.table})
 	w.after(time.Duration(w.rng.Int63n(int64(20*time.Millisecond))), n.tick)
 	w.after(5*time.Millisecond, n.list)
@@ -149,7 +149,7 @@
 	if n.dead {
 		return
 	}
-	var l []platform.Instance
+	var l []store.Instance
 	for _, in := range n.w.listed {
 		l = append(l, in)
 	}
@@ -243,7 +243,7 @@
 	w := n.w
 	switch e := a.(type) {
 	case ReadObject:
-		w.store.call(n, e.ID, platform.Object{Kind: e.Kind, Name: e.Name}, false)
+		w.store.call(n, e.ID, store.Object{Kind: e.Kind, Name: e.Name}, false)
 	case WriteObject:
 		w.detail("%s writes %s/%s", n.id, e.Object.Kind, e.Object.Name)
 		w.store.call(n, e.ID, e.Object, true)
--- a/platform/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -16,13 +16,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/objectapi"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/objectapi"
 )
 
 const (
 	// maxObjectBytes holds the largest value in base64 with its envelope.
-	maxObjectBytes = 2 * platform.MaxValueBytes
+	maxObjectBytes = 2 * store.MaxValueBytes
 	// maxListBytes bounds a list; it holds the assignments of 22 cells at the target size.
 	maxListBytes = 64 << 20
 	// idleTimeout is below the idle timeouts of common servers. A server that
@@ -163,9 +163,9 @@
 
 // lost is the error of a call without a usable answer.
 func (c call) lost(reached bool, cause error) error {
-	kind := platform.ErrUnavailable
+	kind := store.ErrUnavailable
 	if reached && c.method != http.MethodGet {
-		kind = platform.ErrOutcomeUnknown
+		kind = store.ErrOutcomeUnknown
 	}
 	if errors.Is(cause, os.ErrDeadlineExceeded) && !errors.Is(cause, context.DeadlineExceeded) {
 		cause = errors.Join(cause, context.DeadlineExceeded)
--- a/platform/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -1,4 +1,4 @@
-// Package httpstore is a platform.Store over the platform's object API, which
+// Package httpstore is a store.Store over the platform's object API, which
 // docs/reference/object-api.md describes. It registers itself as "store.http".
 // It does not retry: the caller knows whether a repeated write is right.
 package httpstore
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/objectapi"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/objectapi"
 )
 
 // Defaults of the settings.
@@ -45,8 +45,8 @@
 }
 
 var (
-	_ platform.Store     = (*Store)(nil)
-	_ platform.Registrar = (*Store)(nil)
+	_ store.Store     = (*Store)(nil)
+	_ store.Registrar = (*Store)(nil)
 )
 
 // New returns a client. It does not connect.
@@ -77,35 +77,35 @@
 // Close closes idle connections.
 func (s *Store) Close() { s.client.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	var obj platform.Object
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	var obj store.Object
 	err := s.do(ctx, call{method: http.MethodGet, path: objectapi.ObjectPath(kind, name), into: &obj, check: isObject(&obj, kind, name)})
 	return obj, err
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind string) ([]platform.Object, platform.Version, error) {
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, kind string) ([]store.Object, store.Version, error) {
 	var list objectapi.List
 	err := s.do(ctx, call{method: http.MethodGet, path: objectapi.ObjectsPath + url.PathEscape(kind), into: &list, limit: maxListBytes})
 	return list.Objects, list.Version, err
 }
 
-// Create implements platform.Store.
-func (s *Store) Create(ctx context.Context, obj platform.Object) (platform.Object, error) {
+// Create implements store.Store.
+func (s *Store) Create(ctx context.Context, obj store.Object) (store.Object, error) {
 	return s.put(ctx, obj, "If-None-Match", "*")
 }
 
-// Update implements platform.Store.
-func (s *Store) Update(ctx context.Context, obj platform.Object) (platform.Object, error) {
+// Update implements store.Store.
+func (s *Store) Update(ctx context.Context, obj store.Object) (store.Object, error) {
 	return s.put(ctx, obj, "If-Match", objectapi.FormatVersion(obj.Version))
 }
 
-func (s *Store) put(ctx context.Context, obj platform.Object, condition, value string) (platform.Object, error) {
-	if len(obj.Value) > platform.MaxValueBytes {
-		return platform.Object{}, fmt.Errorf("put %s/%s, %d bytes: %w", obj.Kind, obj.Name, len(obj.Value), platform.ErrTooLarge)
+func (s *Store) put(ctx context.Context, obj store.Object, condition, value string) (store.Object, error) {
+	if len(obj.Value) > store.MaxValueBytes {
+		return store.Object{}, fmt.Errorf("put %s/%s, %d bytes: %w", obj.Kind, obj.Name, len(obj.Value), store.ErrTooLarge)
 	}
-	var got platform.Object
+	var got store.Object
 	err := s.do(ctx, call{
 		method: http.MethodPut, path: objectapi.ObjectPath(obj.Kind, obj.Name),
 		header: http.Header{condition: {value}},
@@ -116,45 +116,45 @@
 }
 
 // isObject checks that an answer is the object that was asked for, and empties it if not.
-func isObject(got *platform.Object, kind, name string) func() error {
+func isObject(got *store.Object, kind, name string) func() error {
 	return func() error {
 		if got.Kind == kind && got.Name == name && got.Version != 0 {
 			return nil
 		}
 		err := fmt.Errorf("answer is object %s/%s at version %d", got.Kind, got.Name, got.Version)
-		*got = platform.Object{}
+		*got = store.Object{}
 		return err
 	}
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, kind, name string, version platform.Version) error {
+// Delete implements store.Store.
+func (s *Store) Delete(ctx context.Context, kind, name string, version store.Version) error {
 	return s.do(ctx, call{
 		method: http.MethodDelete, path: objectapi.ObjectPath(kind, name),
 		header: http.Header{"If-Match": {objectapi.FormatVersion(version)}},
 	})
 }
 
-// Instances implements platform.Store.
-func (s *Store) Instances(ctx context.Context) ([]platform.Instance, error) {
-	var list []platform.Instance
+// Instances implements store.Store.
+func (s *Store) Instances(ctx context.Context) ([]store.Instance, error) {
+	var list []store.Instance
 	err := s.do(ctx, call{method: http.MethodGet, path: objectapi.InstancesPath, into: &list, limit: maxListBytes})
 	return list, err
 }
 
-// Register implements platform.Registrar.
-func (s *Store) Register(ctx context.Context, in platform.Instance) error {
+// Register implements store.Registrar.
+func (s *Store) Register(ctx context.Context, in store.Instance) error {
 	return s.do(ctx, call{method: http.MethodPut, path: instancePath(in.ID), body: in})
 }
 
-// Deregister implements platform.Registrar.
+// Deregister implements store.Registrar.
 func (s *Store) Deregister(ctx context.Context, id string) error {
 	return s.do(ctx, call{method: http.MethodDelete, path: instancePath(id)})
 }
 
 func instancePath(id string) string { return objectapi.InstancesPath + "/" + url.PathEscape(id) }
 
-func watchPath(kind string, from platform.Version) string {
+func watchPath(kind string, from store.Version) string {
 	query := url.Values{objectapi.FromParameter: {strconv.FormatUint(uint64(from), 10)}}
 	return objectapi.WatchPath + url.PathEscape(kind) + "?" + query.Encode()
 }
--- a/platform/httpstore/httpstore_test.go
+++ b/store/httpstore/httpstore_test.go
@@ -16,11 +16,11 @@
 	"go.uber.org/goleak"
 
 	"github.com/boragegate/boragegate"
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/httpstore"
-	"github.com/boragegate/boragegate/platform/memory"
-	"github.com/boragegate/boragegate/platform/platformtest"
-	"github.com/boragegate/boragegate/platform/standin"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/httpstore"
+	"github.com/boragegate/boragegate/store/memory"
+	"github.com/boragegate/boragegate/store/standin"
+	"github.com/boragegate/boragegate/store/storetest"
 )
 
 func TestHTTPStore(t *testing.T) {
@@ -52,9 +52,9 @@
 	})
 
 	Context("conformance", func() {
-		platformtest.Conformance(func() platformtest.Harness {
-			m := memory.New(memory.Options{History: platformtest.HistoryBound})
-			return platformtest.Harness{
+		storetest.Conformance(func() storetest.Harness {
+			m := memory.New(memory.Options{History: storetest.HistoryBound})
+			return storetest.Harness{
 				Store:       client(serve(standin.New(m))),
 				SetDown:     func(on bool) { m.SetFaults(memory.Faults{Down: on}) },
 				LoseReplies: func(on bool) { m.SetFaults(memory.Faults{LoseReplies: on}) },
@@ -67,8 +67,8 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(l.Close()).To(Succeed())
-		_, err = client("http://"+l.Addr().String()).Create(ctx, platform.Object{Kind: "k", Name: "a"})
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		_, err = client("http://"+l.Addr().String()).Create(ctx, store.Object{Kind: "k", Name: "a"})
+		Expect(err).To(MatchError(store.ErrUnavailable))
 	})
 
 	answer := func(status int, body string) http.Handler {
@@ -80,10 +80,10 @@
 	DescribeTable("does not trust an answer that the API does not give: a write may have taken effect, a read failed",
 		func(h http.Handler) {
 			s, ctx := client(serve(h)), context.Background()
-			_, err := s.Update(ctx, platform.Object{Kind: "k", Name: "a", Version: 1})
-			Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+			_, err := s.Update(ctx, store.Object{Kind: "k", Name: "a", Version: 1})
+			Expect(err).To(MatchError(store.ErrOutcomeUnknown))
 			obj, err := s.Get(ctx, "k", "a")
-			Expect(err).To(MatchError(platform.ErrUnavailable))
+			Expect(err).To(MatchError(store.ErrUnavailable))
 			Expect(obj).To(BeZero())
 		},
 		Entry("gateway error", answer(http.StatusBadGateway, "bad gateway")),
@@ -93,7 +93,7 @@
 		Entry("not JSON", answer(http.StatusOK, "<html>")),
 		Entry("another object", answer(http.StatusOK, `{"kind":"k","name":"b","version":3}`)),
 		Entry("cut off", answer(http.StatusOK, `{"kind":"k","na`)),
-		Entry("larger than any object", answer(http.StatusOK, strings.Repeat(" ", 3*platform.MaxValueBytes))),
+		Entry("larger than any object", answer(http.StatusOK, strings.Repeat(" ", 3*store.MaxValueBytes))),
 	)
 
 	DescribeTable("ends a watch whose stream is faulty or silent, so that the caller lists again",
@@ -123,14 +123,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		// Twice the idle limit of the client.
 		Consistently(ch, "400ms").ShouldNot(BeClosed())
-		_, err = m.Create(ctx, platform.Object{Kind: "k", Name: "a"})
+		_, err = m.Create(ctx, store.Object{Kind: "k", Name: "a"})
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(ch).Should(Receive())
 	})
 
 	It("loads by module ID and reports all settings that are out of range", func(ctx SpecContext) {
 		base := serve(standin.New(memory.New(memory.Options{})))
-		s, err := boragegate.LoadAs[platform.Store](ctx, "store.http", json.RawMessage(`{"url":"`+base+`","timeout":"1s"}`))
+		s, err := boragegate.LoadAs[store.Store](ctx, "store.http", json.RawMessage(`{"url":"`+base+`","timeout":"1s"}`))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Instances(ctx)).To(BeEmpty())
 		Expect(boragegate.Unload(s)).To(Succeed())
--- a/platform/httpstore/watch.go
+++ b/store/httpstore/watch.go
@@ -7,13 +7,13 @@
 	"net/http"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
-// Watch implements platform.Store. One goroutine per watch reads the stream; it
+// Watch implements store.Store. One goroutine per watch reads the stream; it
 // ends with the context, with the connection, or when nothing arrives for
 // Options.WatchIdle.
-func (s *Store) Watch(ctx context.Context, kind string, from platform.Version) (<-chan platform.Event, error) {
+func (s *Store) Watch(ctx context.Context, kind string, from store.Version) (<-chan store.Event, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	starting := time.AfterFunc(s.options.Timeout, cancel)
 	response, err := s.send(ctx, call{method: http.MethodGet, path: watchPath(kind, from)}) //nolint:bodyclose // closed by the goroutine below
@@ -23,7 +23,7 @@
 		return nil, err
 	}
 	starting.Stop()
-	events := make(chan platform.Event)
+	events := make(chan store.Event)
 	go func() {
 		defer close(events)
 		defer cancel()
@@ -34,12 +34,12 @@
 }
 
 // follow decodes events until the stream ends or has something that is not an event of the kind.
-func follow(ctx context.Context, stream *idleReader, kind string, events chan<- platform.Event) {
+func follow(ctx context.Context, stream *idleReader, kind string, events chan<- store.Event) {
 	defer stream.stop()
 	decoder := json.NewDecoder(stream)
 	for {
-		var ev platform.Event
-		if decoder.Decode(&ev) != nil || ev.Object.Kind != kind || (ev.Type != platform.Put && ev.Type != platform.Deleted) {
+		var ev store.Event
+		if decoder.Decode(&ev) != nil || ev.Object.Kind != kind || (ev.Type != store.Put && ev.Type != store.Deleted) {
 			return
 		}
 		// The time that the consumer takes does not count as silence of the stream.
--- a/platform/memory/faults.go
+++ b/store/memory/faults.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // Faults are the faults that the store shows. The zero value shows none.
@@ -44,7 +44,7 @@
 }
 
 // readable returns the objects that reads see and their version. Callers hold mu.
-func (s *Store) readable() (map[key]platform.Object, platform.Version) {
+func (s *Store) readable() (map[key]store.Object, store.Version) {
 	if s.faults.StaleReads {
 		return s.stale, s.staleAt
 	}
--- a/platform/memory/instances.go
+++ b/store/memory/instances.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // maxListVersions bounds the past instance lists that are kept for the lag.
@@ -14,13 +14,13 @@
 
 type listVersion struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []store.Instance
 }
 
 // instanceList keeps the past versions of the list, oldest first.
 type instanceList struct{ versions []listVersion }
 
-func (l *instanceList) current() []platform.Instance {
+func (l *instanceList) current() []store.Instance {
 	if len(l.versions) == 0 {
 		return nil
 	}
@@ -28,7 +28,7 @@
 }
 
 // at returns the list as it was at a moment.
-func (l *instanceList) at(t time.Time) []platform.Instance {
+func (l *instanceList) at(t time.Time) []store.Instance {
 	for _, v := range slices.Backward(l.versions) {
 		if !v.at.After(t) {
 			return v.instances
@@ -38,11 +38,11 @@
 }
 
 // set replaces the entry of an ID, or removes it if in is nil.
-func (l *instanceList) set(now time.Time, id string, in *platform.Instance) {
-	next := slices.DeleteFunc(slices.Clone(l.current()), func(i platform.Instance) bool { return i.ID == id })
+func (l *instanceList) set(now time.Time, id string, in *store.Instance) {
+	next := slices.DeleteFunc(slices.Clone(l.current()), func(i store.Instance) bool { return i.ID == id })
 	if in != nil {
 		next = append(next, *in)
-		slices.SortFunc(next, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(next, func(a, b store.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	l.versions = append(l.versions, listVersion{now, next})
 	if extra := len(l.versions) - maxListVersions; extra > 0 {
@@ -50,8 +50,8 @@
 	}
 }
 
-// Instances implements platform.Store.
-func (s *Store) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements store.Store.
+func (s *Store) Instances(ctx context.Context) ([]store.Instance, error) {
 	if err := s.begin(ctx, callInstances); err != nil {
 		return nil, err
 	}
@@ -60,17 +60,17 @@
 	return slices.Clone(s.instances.at(s.clock.Now().Add(-s.faults.InstanceLag))), nil
 }
 
-// Register implements platform.Registrar.
-func (s *Store) Register(ctx context.Context, in platform.Instance) error {
+// Register implements store.Registrar.
+func (s *Store) Register(ctx context.Context, in store.Instance) error {
 	return s.setInstance(ctx, in.ID, &in)
 }
 
-// Deregister implements platform.Registrar.
+// Deregister implements store.Registrar.
 func (s *Store) Deregister(ctx context.Context, id string) error {
 	return s.setInstance(ctx, id, nil)
 }
 
-func (s *Store) setInstance(ctx context.Context, id string, in *platform.Instance) error {
+func (s *Store) setInstance(ctx context.Context, id string, in *store.Instance) error {
 	if err := s.begin(ctx, callRegister); err != nil {
 		return err
 	}
--- a/platform/memory/memory.go
+++ b/store/memory/memory.go
@@ -1,4 +1,4 @@
-// Package memory is an embedded platform.Store for tests, the demo and single
+// Package memory is an embedded store.Store for tests, the demo and single
 // processes. It keeps objects in memory only and has switches for the faults
 // that the platform's store can show. It registers itself as "store.memory".
 package memory
@@ -14,7 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // DefaultHistory is the number of changes that are kept for watches.
@@ -38,25 +38,25 @@
 	history int
 
 	mu      sync.Mutex
-	version platform.Version
-	objects map[key]platform.Object
+	version store.Version
+	objects map[key]store.Object
 	// events are the latest changes in order of version.
-	events []platform.Event
+	events []store.Event
 	// dropped is the version of the newest change that is no longer in events.
-	dropped platform.Version
+	dropped store.Version
 	// changed is closed and replaced with every write and every change of faults.
 	changed chan struct{}
 	faults  Faults
 	// stale is the copy that is read while Faults.StaleReads is set.
-	stale     map[key]platform.Object
-	staleAt   platform.Version
+	stale     map[key]store.Object
+	staleAt   store.Version
 	instances instanceList
 	counts    Counts
 }
 
 var (
-	_ platform.Store     = (*Store)(nil)
-	_ platform.Registrar = (*Store)(nil)
+	_ store.Store     = (*Store)(nil)
+	_ store.Registrar = (*Store)(nil)
 )
 
 // New returns an empty store.
@@ -70,65 +70,65 @@
 	s := &Store{
 		clock:   o.Clock,
 		history: o.History,
-		objects: map[key]platform.Object{},
+		objects: map[key]store.Object{},
 		changed: make(chan struct{}),
 	}
 	s.SetFaults(o.Faults)
 	return s
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	if err := s.begin(ctx, callGet); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects, _ := s.readable()
 	obj, ok := objects[key{kind, name}]
 	if !ok {
-		return platform.Object{}, fmt.Errorf("get %s/%s: %w", kind, name, platform.ErrNotFound)
+		return store.Object{}, fmt.Errorf("get %s/%s: %w", kind, name, store.ErrNotFound)
 	}
 	return clone(obj), nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind string) ([]platform.Object, platform.Version, error) {
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, kind string) ([]store.Object, store.Version, error) {
 	if err := s.begin(ctx, callList); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects, version := s.readable()
-	var list []platform.Object
+	var list []store.Object
 	for k, obj := range objects {
 		if k.kind == kind {
 			list = append(list, clone(obj))
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Object) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b store.Object) int { return cmp.Compare(a.Name, b.Name) })
 	return list, version, nil
 }
 
-// Create implements platform.Store.
-func (s *Store) Create(ctx context.Context, obj platform.Object) (platform.Object, error) {
-	return s.write(ctx, callCreate, obj, func(_ platform.Object, found bool) error {
+// Create implements store.Store.
+func (s *Store) Create(ctx context.Context, obj store.Object) (store.Object, error) {
+	return s.write(ctx, callCreate, obj, func(_ store.Object, found bool) error {
 		if found {
-			return platform.ErrExists
+			return store.ErrExists
 		}
 		return nil
 	})
 }
 
-// Update implements platform.Store.
-func (s *Store) Update(ctx context.Context, obj platform.Object) (platform.Object, error) {
-	return s.write(ctx, callUpdate, obj, func(old platform.Object, found bool) error {
+// Update implements store.Store.
+func (s *Store) Update(ctx context.Context, obj store.Object) (store.Object, error) {
+	return s.write(ctx, callUpdate, obj, func(old store.Object, found bool) error {
 		return match(old, found, obj.Version)
 	})
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, kind, name string, version platform.Version) error {
+// Delete implements store.Store.
+func (s *Store) Delete(ctx context.Context, kind, name string, version store.Version) error {
 	if err := s.begin(ctx, callDelete); err != nil {
 		return err
 	}
@@ -141,31 +141,31 @@
 	}
 	s.version++
 	delete(s.objects, k)
-	s.record(platform.Event{Type: platform.Deleted, Object: platform.Object{Kind: kind, Name: name, Version: s.version}})
+	s.record(store.Event{Type: store.Deleted, Object: store.Object{Kind: kind, Name: name, Version: s.version}})
 	return s.reply("delete", k)
 }
 
-func (s *Store) write(ctx context.Context, c call, obj platform.Object, check func(old platform.Object, found bool) error) (platform.Object, error) {
+func (s *Store) write(ctx context.Context, c call, obj store.Object, check func(old store.Object, found bool) error) (store.Object, error) {
 	if err := s.begin(ctx, c); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key{obj.Kind, obj.Name}
-	if len(obj.Value) > platform.MaxValueBytes {
-		return platform.Object{}, fmt.Errorf("%s %s/%s, %d bytes: %w", c, k.kind, k.name, len(obj.Value), platform.ErrTooLarge)
+	if len(obj.Value) > store.MaxValueBytes {
+		return store.Object{}, fmt.Errorf("%s %s/%s, %d bytes: %w", c, k.kind, k.name, len(obj.Value), store.ErrTooLarge)
 	}
 	old, found := s.objects[k]
 	if err := check(old, found); err != nil {
-		return platform.Object{}, fmt.Errorf("%s %s/%s: %w", c, k.kind, k.name, err)
+		return store.Object{}, fmt.Errorf("%s %s/%s: %w", c, k.kind, k.name, err)
 	}
 	s.version++
 	obj = clone(obj)
 	obj.Version = s.version
 	s.objects[k] = obj
-	s.record(platform.Event{Type: platform.Put, Object: obj})
+	s.record(store.Event{Type: store.Put, Object: obj})
 	if err := s.reply(string(c), k); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return clone(obj), nil
 }
@@ -173,13 +173,13 @@
 // reply loses the reply of a write that took effect if that fault is set. Callers hold mu.
 func (s *Store) reply(op string, k key) error {
 	if s.faults.LoseReplies {
-		return fmt.Errorf("%s %s/%s: %w", op, k.kind, k.name, platform.ErrOutcomeUnknown)
+		return fmt.Errorf("%s %s/%s: %w", op, k.kind, k.name, store.ErrOutcomeUnknown)
 	}
 	return nil
 }
 
 // record keeps the change for watches and wakes them. Callers hold mu.
-func (s *Store) record(ev platform.Event) {
+func (s *Store) record(ev store.Event) {
 	s.events = append(s.events, ev)
 	if extra := len(s.events) - s.history; extra > 0 {
 		s.dropped = s.events[extra-1].Object.Version
@@ -193,17 +193,17 @@
 	s.changed = make(chan struct{})
 }
 
-func match(old platform.Object, found bool, version platform.Version) error {
+func match(old store.Object, found bool, version store.Version) error {
 	switch {
 	case !found:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	case old.Version != version:
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
 	return nil
 }
 
-func clone(obj platform.Object) platform.Object {
+func clone(obj store.Object) store.Object {
 	obj.Value = bytes.Clone(obj.Value)
 	return obj
 }
@@ -216,12 +216,12 @@
 	delay := s.faults.Delay
 	s.mu.Unlock()
 	if err := s.wait(ctx, delay); err != nil {
-		return fmt.Errorf("%s: %w: %w", c, platform.ErrUnavailable, err)
+		return fmt.Errorf("%s: %w: %w", c, store.ErrUnavailable, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return fmt.Errorf("%s: %w", c, platform.ErrUnavailable)
+		return fmt.Errorf("%s: %w", c, store.ErrUnavailable)
 	}
 	return nil
 }
--- a/platform/memory/memory_test.go
+++ b/store/memory/memory_test.go
@@ -12,9 +12,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/boragegate/boragegate"
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
-	"github.com/boragegate/boragegate/platform/platformtest"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
+	"github.com/boragegate/boragegate/store/storetest"
 )
 
 func TestMemory(t *testing.T) {
@@ -29,9 +29,9 @@
 	})
 
 	Context("conformance", func() {
-		platformtest.Conformance(func() platformtest.Harness {
-			s := memory.New(memory.Options{History: platformtest.HistoryBound})
-			return platformtest.Harness{
+		storetest.Conformance(func() storetest.Harness {
+			s := memory.New(memory.Options{History: storetest.HistoryBound})
+			return storetest.Harness{
 				Store:       s,
 				SetDown:     func(on bool) { s.SetFaults(memory.Faults{Down: on}) },
 				LoseReplies: func(on bool) { s.SetFaults(memory.Faults{LoseReplies: on}) },
@@ -42,14 +42,14 @@
 
 	It("serves stale reads from the moment of the switch and still refuses stale writes", func(ctx SpecContext) {
 		s := memory.New(memory.Options{})
-		one, err := s.Create(ctx, platform.Object{Kind: "k", Name: "a", Value: []byte("1")})
+		one, err := s.Create(ctx, store.Object{Kind: "k", Name: "a", Value: []byte("1")})
 		Expect(err).NotTo(HaveOccurred())
 		s.SetFaults(memory.Faults{StaleReads: true})
 		two, err := s.Update(ctx, one)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Get(ctx, "k", "a")).To(Equal(one))
 		_, err = s.Update(ctx, one)
-		Expect(err).To(MatchError(platform.ErrConflict))
+		Expect(err).To(MatchError(store.ErrConflict))
 		s.SetFaults(memory.Faults{})
 		Expect(s.Get(ctx, "k", "a")).To(Equal(two))
 	})
@@ -57,7 +57,7 @@
 	It("lags the instance list by the set time", func(ctx SpecContext) {
 		clock := clockwork.NewFakeClock()
 		s := memory.New(memory.Options{Clock: clock, Faults: memory.Faults{InstanceLag: 5 * time.Second}})
-		in := platform.Instance{ID: "i-1", State: platform.Live}
+		in := store.Instance{ID: "i-1", State: store.Live}
 		Expect(s.Register(ctx, in)).To(Succeed())
 		Expect(s.Instances(ctx)).To(BeEmpty())
 		clock.Advance(5 * time.Second)
@@ -67,7 +67,7 @@
 	})
 
 	It("loads by module ID and reports settings that are out of range", func() {
-		_, err := boragegate.LoadAs[platform.Store](context.Background(), "store.memory", json.RawMessage(`{"delay":"1ms"}`))
+		_, err := boragegate.LoadAs[store.Store](context.Background(), "store.memory", json.RawMessage(`{"delay":"1ms"}`))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = boragegate.Load(context.Background(), "store.memory", json.RawMessage(`{"history":0,"delay":"-1s"}`))
 		Expect(err).To(MatchError(And(ContainSubstring("history: out of range"), ContainSubstring("delay: negative"))))
--- a/platform/memory/watch.go
+++ b/store/memory/watch.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
-// Watch implements platform.Store. The goroutine of a watch reads the store's
+// Watch implements store.Store. The goroutine of a watch reads the store's
 // history at its own pace, so a slow reader delays nobody. The channel closes
 // when the store goes down or the history no longer has the next change.
-func (s *Store) Watch(ctx context.Context, kind string, from platform.Version) (<-chan platform.Event, error) {
+func (s *Store) Watch(ctx context.Context, kind string, from store.Version) (<-chan store.Event, error) {
 	if err := s.begin(ctx, callWatch); err != nil {
 		return nil, err
 	}
@@ -18,14 +18,14 @@
 	defer s.mu.Unlock()
 	// A version ahead of the store belongs to a store that was replaced.
 	if from < s.dropped || from > s.version {
-		return nil, fmt.Errorf("watch %s from version %d: %w", kind, from, platform.ErrTooOld)
+		return nil, fmt.Errorf("watch %s from version %d: %w", kind, from, store.ErrTooOld)
 	}
-	ch := make(chan platform.Event)
+	ch := make(chan store.Event)
 	go s.follow(ctx, kind, from, ch)
 	return ch, nil
 }
 
-func (s *Store) follow(ctx context.Context, kind string, from platform.Version, ch chan<- platform.Event) {
+func (s *Store) follow(ctx context.Context, kind string, from store.Version, ch chan<- store.Event) {
 	defer close(ch)
 	for {
 		events, next, changed, ok := s.since(kind, from)
@@ -51,13 +51,13 @@
 // since returns the changes of a kind after a version, the version that they
 // reach, and the channel that closes with the next change. It returns false
 // when the watch cannot continue.
-func (s *Store) since(kind string, from platform.Version) ([]platform.Event, platform.Version, <-chan struct{}, bool) {
+func (s *Store) since(kind string, from store.Version) ([]store.Event, store.Version, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down || from < s.dropped {
 		return nil, 0, nil, false
 	}
-	var events []platform.Event
+	var events []store.Event
 	for _, ev := range s.events {
 		if ev.Object.Version > from && ev.Object.Kind == kind {
 			ev.Object = clone(ev.Object)
--- a/platform/objectapi/objectapi.go
+++ b/store/objectapi/objectapi.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // Paths of the API.
@@ -33,8 +33,8 @@
 
 // List is the body of a list of objects.
 type List struct {
-	Version platform.Version  `json:"version"`
-	Objects []platform.Object `json:"objects"`
+	Version store.Version  `json:"version"`
+	Objects []store.Object `json:"objects"`
 }
 
 // Content is the body of a write.
@@ -60,23 +60,23 @@
 // Codes has the errors of the API. An answer with one of these codes to a
 // write means that nothing was written.
 var Codes = []Code{
-	{platform.ErrNotFound, "not-found", http.StatusNotFound},
-	{platform.ErrExists, "exists", http.StatusConflict},
-	{platform.ErrConflict, "conflict", http.StatusPreconditionFailed},
-	{platform.ErrTooOld, "too-old", http.StatusGone},
-	{platform.ErrTooLarge, "too-large", http.StatusRequestEntityTooLarge},
-	{platform.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
+	{store.ErrNotFound, "not-found", http.StatusNotFound},
+	{store.ErrExists, "exists", http.StatusConflict},
+	{store.ErrConflict, "conflict", http.StatusPreconditionFailed},
+	{store.ErrTooOld, "too-old", http.StatusGone},
+	{store.ErrTooLarge, "too-large", http.StatusRequestEntityTooLarge},
+	{store.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
 }
 
 // FormatVersion returns the entity tag of a version.
-func FormatVersion(v platform.Version) string {
+func FormatVersion(v store.Version) string {
 	return strconv.Quote(strconv.FormatUint(uint64(v), 10))
 }
 
 // ParseVersion reads an entity tag.
-func ParseVersion(tag string) (platform.Version, bool) {
+func ParseVersion(tag string) (store.Version, bool) {
 	digits, found := strings.CutPrefix(tag, `"`)
 	digits, closed := strings.CutSuffix(digits, `"`)
 	v, err := strconv.ParseUint(digits, 10, 64)
-	return platform.Version(v), found && closed && err == nil
+	return store.Version(v), found && closed && err == nil
 }
--- a/platform/standin/control.go
+++ b/store/standin/control.go
@@ -7,8 +7,8 @@
 
 	"github.com/uptrace/bunrouter"
 
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	var in platform.Instance
+	var in store.Instance
 	if err := body(w, r, &in); err != nil {
 		return err
 	}
--- a/platform/standin/standin.go
+++ b/store/standin/standin.go
@@ -14,15 +14,15 @@
 
 	"github.com/uptrace/bunrouter"
 
-	"github.com/boragegate/boragegate/platform"
-	"github.com/boragegate/boragegate/platform/memory"
-	"github.com/boragegate/boragegate/platform/objectapi"
+	"github.com/boragegate/boragegate/store"
+	"github.com/boragegate/boragegate/store/memory"
+	"github.com/boragegate/boragegate/store/objectapi"
 )
 
 const (
 	// maxBodyBytes holds the largest value in base64 with its envelope, and more,
 	// so that the store and not the reader refuses larger values.
-	maxBodyBytes = 4 * platform.MaxValueBytes
+	maxBodyBytes = 4 * store.MaxValueBytes
 	// DefaultKeepAlive is the interval of empty lines in a watch without events.
 	DefaultKeepAlive = 5 * time.Second
 	// FaultsPath sets the faults; it is not part of the object API.
@@ -65,7 +65,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrOutcomeUnknown) {
+		if errors.Is(err, store.ErrOutcomeUnknown) {
 			panic(http.ErrAbortHandler)
 		}
 		status, code := http.StatusInternalServerError, "internal"
@@ -152,7 +152,7 @@
 	if err := body(w, r, &content); err != nil {
 		return err
 	}
-	obj := platform.Object{Kind: kind, Name: name, Writer: content.Writer, Value: content.Value}
+	obj := store.Object{Kind: kind, Name: name, Writer: content.Writer, Value: content.Value}
 	write := s.Store.Create
 	if r.Header.Get("If-None-Match") != "*" {
 		write = s.Store.Update
@@ -167,7 +167,7 @@
 	return reply(w, http.StatusOK, obj)
 }
 
-func condition(r bunrouter.Request) (platform.Version, error) {
+func condition(r bunrouter.Request) (store.Version, error) {
 	version, ok := objectapi.ParseVersion(r.Header.Get("If-Match"))
 	if !ok {
 		return 0, fmt.Errorf("%w: If-Match must name a version", errBadRequest)
@@ -201,7 +201,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: from must be a version", errBadRequest)
 	}
-	events, err := s.Store.Watch(r.Context(), kind, platform.Version(from))
+	events, err := s.Store.Watch(r.Context(), kind, store.Version(from))
 	if err != nil {
 		return err
 	}
@@ -211,7 +211,7 @@
 	return nil
 }
 
-func (s *Server) stream(w http.ResponseWriter, events <-chan platform.Event) {
+func (s *Server) stream(w http.ResponseWriter, events <-chan store.Event) {
 	out, control := json.NewEncoder(w), http.NewResponseController(w)
 	keepAlive := time.NewTicker(s.KeepAlive)
 	defer keepAlive.Stop()
--- a/platform/platformtest/conformance.go
+++ b/store/storetest/conformance.go
@@ -1,5 +1,5 @@
-// Package platformtest is the conformance suite that every platform.Store passes.
-package platformtest
+// Package platformtest is the conformance suite that every store.Store passes.
+package storetest
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"    //nolint:staticcheck // as above
 	"pgregory.net/rapid"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // HistoryBound is the number of changes that a store under test keeps for watches at most.
@@ -19,7 +19,7 @@
 
 // Harness is a fresh store with the switches that the suite needs.
 type Harness struct {
-	Store platform.Store
+	Store store.Store
 	// SetDown makes the store refuse calls and cut its watches.
 	SetDown func(bool)
 	// LoseReplies makes writes take effect without a reply.
@@ -41,10 +41,10 @@
 		ctx, cancel = context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 	})
-	obj := func(name, value string) platform.Object {
-		return platform.Object{Kind: "k", Name: name, Writer: "w-" + value, Value: []byte(value)}
+	obj := func(name, value string) store.Object {
+		return store.Object{Kind: "k", Name: name, Writer: "w-" + value, Value: []byte(value)}
 	}
-	create := func(name, value string) platform.Object {
+	create := func(name, value string) store.Object {
 		GinkgoHelper()
 		o, err := h.Store.Create(ctx, obj(name, value))
 		Expect(err).NotTo(HaveOccurred())
@@ -52,39 +52,39 @@
 	}
 
 	DescribeTable("refuses with a typed error and changes nothing, so that callers can tell what happened",
-		func(call func(o platform.Object) error, want error) {
+		func(call func(o store.Object) error, want error) {
 			o := create("a", "1")
 			Expect(call(o)).To(MatchError(want))
 			Expect(h.Store.Get(ctx, "k", "a")).To(Equal(o))
 		},
-		Entry("get of a missing object", func(platform.Object) error { _, err := h.Store.Get(ctx, "k", "b"); return err }, platform.ErrNotFound),
-		Entry("get of another kind", func(platform.Object) error { _, err := h.Store.Get(ctx, "j", "a"); return err }, platform.ErrNotFound),
-		Entry("create of an existing object", func(platform.Object) error { _, err := h.Store.Create(ctx, obj("a", "2")); return err }, platform.ErrExists),
-		Entry("update of a missing object", func(platform.Object) error { _, err := h.Store.Update(ctx, obj("b", "2")); return err }, platform.ErrNotFound),
-		Entry("update at an older version", func(o platform.Object) error { o.Version--; _, err := h.Store.Update(ctx, o); return err }, platform.ErrConflict),
-		Entry("update at version 0", func(o platform.Object) error { o.Version = 0; _, err := h.Store.Update(ctx, o); return err }, platform.ErrConflict),
-		Entry("delete at a newer version", func(o platform.Object) error { return h.Store.Delete(ctx, "k", "a", o.Version+1) }, platform.ErrConflict),
-		Entry("delete of a missing object", func(platform.Object) error { return h.Store.Delete(ctx, "k", "b", 1) }, platform.ErrNotFound),
-		Entry("update that is too large", func(o platform.Object) error {
-			o.Value = make([]byte, platform.MaxValueBytes+1)
+		Entry("get of a missing object", func(store.Object) error { _, err := h.Store.Get(ctx, "k", "b"); return err }, store.ErrNotFound),
+		Entry("get of another kind", func(store.Object) error { _, err := h.Store.Get(ctx, "j", "a"); return err }, store.ErrNotFound),
+		Entry("create of an existing object", func(store.Object) error { _, err := h.Store.Create(ctx, obj("a", "2")); return err }, store.ErrExists),
+		Entry("update of a missing object", func(store.Object) error { _, err := h.Store.Update(ctx, obj("b", "2")); return err }, store.ErrNotFound),
+		Entry("update at an older version", func(o store.Object) error { o.Version--; _, err := h.Store.Update(ctx, o); return err }, store.ErrConflict),
+		Entry("update at version 0", func(o store.Object) error { o.Version = 0; _, err := h.Store.Update(ctx, o); return err }, store.ErrConflict),
+		Entry("delete at a newer version", func(o store.Object) error { return h.Store.Delete(ctx, "k", "a", o.Version+1) }, store.ErrConflict),
+		Entry("delete of a missing object", func(store.Object) error { return h.Store.Delete(ctx, "k", "b", 1) }, store.ErrNotFound),
+		Entry("update that is too large", func(o store.Object) error {
+			o.Value = make([]byte, store.MaxValueBytes+1)
 			_, err := h.Store.Update(ctx, o)
 			return err
-		}, platform.ErrTooLarge),
-		Entry("call with an ended context", func(platform.Object) error {
+		}, store.ErrTooLarge),
+		Entry("call with an ended context", func(store.Object) error {
 			ended, cancel := context.WithCancel(ctx)
 			cancel()
 			_, err := h.Store.Get(ended, "k", "a")
 			return err
 		}, context.Canceled),
-		Entry("watch from the future, after a store was replaced", func(o platform.Object) error {
+		Entry("watch from the future, after a store was replaced", func(o store.Object) error {
 			_, err := h.Store.Watch(ctx, "k", o.Version+10)
 			return err
-		}, platform.ErrTooOld),
+		}, store.ErrTooOld),
 	)
 
 	It("holds values of the largest size and names with any character", func() {
-		for name, size := range map[string]int{"a/b ?%ő": platform.MaxValueBytes, "a%": 1, "..": 1, "c1.route": 0} {
-			o, err := h.Store.Create(ctx, platform.Object{Kind: "k/é", Name: name, Value: bytes.Repeat([]byte{0xff}, size)})
+		for name, size := range map[string]int{"a/b ?%ő": store.MaxValueBytes, "a%": 1, "..": 1, "c1.route": 0} {
+			o, err := h.Store.Create(ctx, store.Object{Kind: "k/é", Name: name, Value: bytes.Repeat([]byte{0xff}, size)})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(h.Store.Get(ctx, "k/é", name)).To(Equal(o))
 		}
@@ -105,13 +105,13 @@
 		b := create("b", "2")
 		watch, err := h.Store.Watch(ctx, "k", from)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = h.Store.Create(ctx, platform.Object{Kind: "other", Name: "x"})
+		_, err = h.Store.Create(ctx, store.Object{Kind: "other", Name: "x"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(h.Store.Delete(ctx, "k", "b", b.Version)).To(Succeed())
-		Eventually(watch).Should(Receive(Equal(platform.Event{Type: platform.Put, Object: b})))
-		var ev platform.Event
+		Eventually(watch).Should(Receive(Equal(store.Event{Type: store.Put, Object: b})))
+		var ev store.Event
 		Eventually(watch).Should(Receive(&ev))
-		Expect(ev.Type).To(Equal(platform.Deleted))
+		Expect(ev.Type).To(Equal(store.Deleted))
 		Expect(ev.Object.Name).To(Equal("b"))
 		Expect(ev.Object.Version).To(BeNumerically(">", b.Version))
 	})
@@ -126,7 +126,7 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, err := h.Store.Watch(ctx, "k", first)
-		Expect(err).To(MatchError(platform.ErrTooOld))
+		Expect(err).To(MatchError(store.ErrTooOld))
 	})
 
 	It("closes a watch when its context ends or the store goes down", func() {
@@ -144,23 +144,23 @@
 	It("says that nothing was written while it is down", func() {
 		h.SetDown(true)
 		_, err := h.Store.Create(ctx, obj("a", "1"))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
-		Expect(err).NotTo(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(store.ErrUnavailable))
+		Expect(err).NotTo(MatchError(store.ErrOutcomeUnknown))
 		h.SetDown(false)
 		_, err = h.Store.Get(ctx, "k", "a")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(store.ErrNotFound))
 	})
 
 	It("reports a lost reply as unknown, and the writer tells that the write took effect", func() {
 		h.LoseReplies(true)
 		_, err := h.Store.Create(ctx, obj("a", "1"))
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(store.ErrOutcomeUnknown))
 		h.LoseReplies(false)
 		got, err := h.Store.Get(ctx, "k", "a")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got.Writer).To(Equal("w-1"))
 		h.LoseReplies(true)
-		Expect(h.Store.Delete(ctx, "k", "a", got.Version)).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(h.Store.Delete(ctx, "k", "a", got.Version)).To(MatchError(store.ErrOutcomeUnknown))
 	})
 
 	It("ends a call to a slow store with the caller's deadline", func() {
@@ -172,17 +172,17 @@
 	})
 
 	It("lists registered instances by ID until they leave", func() {
-		r, ok := h.Store.(platform.Registrar)
+		r, ok := h.Store.(store.Registrar)
 		if !ok {
 			Skip("the store keeps the list by itself")
 		}
-		one := platform.Instance{ID: "i-1", Zone: "z1", State: platform.Live, PeerAddress: "127.0.0.1:1", ForwardAddress: "127.0.0.1:2"}
-		two := platform.Instance{ID: "i-2", Zone: "z2", State: platform.Leaving}
+		one := store.Instance{ID: "i-1", Zone: "z1", State: store.Live, PeerAddress: "127.0.0.1:1", ForwardAddress: "127.0.0.1:2"}
+		two := store.Instance{ID: "i-2", Zone: "z2", State: store.Leaving}
 		Expect(r.Register(ctx, two)).To(Succeed())
 		Expect(r.Register(ctx, one)).To(Succeed())
-		Expect(h.Store.Instances(ctx)).To(Equal([]platform.Instance{one, two}))
+		Expect(h.Store.Instances(ctx)).To(Equal([]store.Instance{one, two}))
 		Expect(r.Deregister(ctx, "i-1")).To(Succeed())
-		Expect(h.Store.Instances(ctx)).To(Equal([]platform.Instance{two}))
+		Expect(h.Store.Instances(ctx)).To(Equal([]store.Instance{two}))
 	})
 
 	It("lets one of several concurrent updates win, so that two planners cannot both record an owner", func() {
@@ -197,7 +197,7 @@
 			if err := <-errs; err == nil {
 				won++
 			} else {
-				Expect(err).To(MatchError(platform.ErrConflict))
+				Expect(err).To(MatchError(store.ErrConflict))
 			}
 		}
 		Expect(won).To(Equal(1))
@@ -213,22 +213,22 @@
 }
 
 // matchModel runs random calls and compares results, versions and the final list with a map. The kind is empty at the start.
-func matchModel(ctx context.Context, t *rapid.T, s platform.Store, kind string) {
-	model := map[string]platform.Object{}
-	var newest platform.Version
+func matchModel(ctx context.Context, t *rapid.T, s store.Store, kind string) {
+	model := map[string]store.Object{}
+	var newest store.Version
 	for range rapid.IntRange(1, 30).Draw(t, "calls") {
 		name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 		old, found := model[name]
-		obj := platform.Object{Kind: kind, Name: name, Version: old.Version, Value: []byte(rapid.String().Draw(t, "value"))}
+		obj := store.Object{Kind: kind, Name: name, Version: old.Version, Value: []byte(rapid.String().Draw(t, "value"))}
 		if rapid.Bool().Draw(t, "wrong version") {
-			obj.Version += platform.Version(rapid.Uint64Range(1, 3).Draw(t, "ahead"))
+			obj.Version += store.Version(rapid.Uint64Range(1, 3).Draw(t, "ahead"))
 		}
-		var got platform.Object
+		var got store.Object
 		var err error
 		want := expected(found, obj.Version == old.Version)
 		switch rapid.IntRange(0, 2).Draw(t, "call") {
 		case 0:
-			want = platform.ErrExists
+			want = store.ErrExists
 			if !found {
 				want = nil
 			}
@@ -257,9 +257,9 @@
 func expected(found, sameVersion bool) error {
 	switch {
 	case !found:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	case !sameVersion:
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
 	return nil
 }
--- a/table/limits.go
+++ b/table/limits.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // Limits of a table.
@@ -14,7 +14,7 @@
 	MaxRows = 10_000
 	// MaxEncodedBytes bounds the encoded table: the store's largest value less
 	// room for the operator, the comment and the time that are kept with it.
-	MaxEncodedBytes = platform.MaxValueBytes - 4096
+	MaxEncodedBytes = store.MaxValueBytes - 4096
 	// MaxPartitions bounds the partitions of a service.
 	MaxPartitions = 65536
 	// MaxWeight bounds the weight of a row.
--- a/table/tablestore/apply.go
+++ b/table/tablestore/apply.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/boragegate/boragegate/finding"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -38,7 +38,7 @@
 
 // Apply checks the table and makes it the current version. Errors are a
 // finding.List, a *ConflictError, an *UnknownError, or wrap the errors of
-// package platform; with all but an *UnknownError nothing was written.
+// package store; with all but an *UnknownError nothing was written.
 func (t *Tables) Apply(ctx context.Context, req Request) (*Result, error) {
 	if len(req.Comment) > MaxCommentBytes {
 		return nil, finding.List{{Path: "comment", Message: fmt.Sprintf("the comment has %d bytes", len(req.Comment)), Expected: fmt.Sprintf("at most %d", MaxCommentBytes)}}
@@ -49,7 +49,7 @@
 			return result, err
 		}
 	}
-	return nil, fmt.Errorf("tablestore: %d other changes came first: %w", maxAttempts, platform.ErrConflict)
+	return nil, fmt.Errorf("tablestore: %d other changes came first: %w", maxAttempts, store.ErrConflict)
 }
 
 // errRaced means that the table changed between read and write.
@@ -57,7 +57,7 @@
 
 func (t *Tables) attempt(ctx context.Context, req Request) (*Result, error) {
 	current, err := t.Get(ctx)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return nil, err
 	}
 	next, action, err := t.content(ctx, req, current)
@@ -112,7 +112,7 @@
 	if req.Base > 0 {
 		r, err := t.Version(ctx, req.Base)
 		if err != nil {
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, store.ErrNotFound) {
 				return nil, "", conflict
 			}
 			return nil, "", err
--- a/table/tablestore/errors.go
+++ b/table/tablestore/errors.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -13,7 +13,7 @@
 var ErrStaleRead = errors.New("the store returned an older version of the table than before")
 
 // ConflictError means that another operator changed the table since the version
-// that a change is based on. Nothing was written. It is a platform.ErrConflict.
+// that a change is based on. Nothing was written. It is a store.ErrConflict.
 type ConflictError struct {
 	// Base is the version that the change is based on, Current the one in the store.
 	Base, Current uint64
@@ -46,11 +46,11 @@
 	return b.String()
 }
 
-// Unwrap makes errors.Is(err, platform.ErrConflict) true.
-func (*ConflictError) Unwrap() error { return platform.ErrConflict }
+// Unwrap makes errors.Is(err, store.ErrConflict) true.
+func (*ConflictError) Unwrap() error { return store.ErrConflict }
 
 // UnknownError means that a write may or may not have taken effect, and that
-// the store could not be asked. It is a platform.ErrOutcomeUnknown.
+// the store could not be asked. It is a store.ErrOutcomeUnknown.
 type UnknownError struct {
 	// Version is the version that the write would make.
 	Version uint64
@@ -64,5 +64,5 @@
 	return fmt.Sprintf("it is unknown whether version %d was accepted (writer %s): %v", e.Version, e.Writer, e.Cause)
 }
 
-// Unwrap makes errors.Is true for platform.ErrOutcomeUnknown and for the cause.
-func (e *UnknownError) Unwrap() []error { return []error{platform.ErrOutcomeUnknown, e.Cause} }
+// Unwrap makes errors.Is true for store.ErrOutcomeUnknown and for the cause.
+func (e *UnknownError) Unwrap() []error { return []error{store.ErrOutcomeUnknown, e.Cause} }
--- a/table/tablestore/fakestore_test.go
+++ b/table/tablestore/fakestore_test.go
@@ -5,27 +5,27 @@
 	"fmt"
 	"sync"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // fakeStore is the smallest store that the package needs. The hooks inject faults.
 type fakeStore struct {
-	platform.Store
+	store.Store
 	mu      sync.Mutex
-	version platform.Version
-	objects map[string]platform.Object
+	version store.Version
+	objects map[string]store.Object
 	// before runs before each write of table/current without the lock; an error
 	// is returned instead of writing.
 	before func() error
 	// after runs after each write of table/current; an error hides the reply.
 	after func() error
 	// read replaces the result of reads if it is not nil.
-	read func() (platform.Object, error)
+	read func() (store.Object, error)
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]platform.Object{}} }
+func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]store.Object{}} }
 
-func (s *fakeStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, kind, name string) (store.Object, error) {
 	if s.read != nil {
 		return s.read()
 	}
@@ -33,15 +33,15 @@
 	defer s.mu.Unlock()
 	obj, ok := s.objects[kind+"/"+name]
 	if !ok {
-		return obj, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrNotFound)
+		return obj, fmt.Errorf("%s/%s: %w", kind, name, store.ErrNotFound)
 	}
 	return obj, nil
 }
 
-func (s *fakeStore) List(_ context.Context, kind string) ([]platform.Object, platform.Version, error) {
+func (s *fakeStore) List(_ context.Context, kind string) ([]store.Object, store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list []platform.Object
+	var list []store.Object
 	for _, o := range s.objects {
 		if o.Kind == kind {
 			list = append(list, o)
@@ -50,22 +50,22 @@
 	return list, s.version, nil
 }
 
-func (s *fakeStore) Create(_ context.Context, obj platform.Object) (platform.Object, error) {
-	return s.put(obj, platform.ErrExists)
+func (s *fakeStore) Create(_ context.Context, obj store.Object) (store.Object, error) {
+	return s.put(obj, store.ErrExists)
 }
 
-func (s *fakeStore) Update(_ context.Context, obj platform.Object) (platform.Object, error) {
-	return s.put(obj, platform.ErrConflict)
+func (s *fakeStore) Update(_ context.Context, obj store.Object) (store.Object, error) {
+	return s.put(obj, store.ErrConflict)
 }
 
-func (s *fakeStore) Delete(_ context.Context, kind, name string, _ platform.Version) error {
+func (s *fakeStore) Delete(_ context.Context, kind, name string, _ store.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.objects, kind+"/"+name)
 	return nil
 }
 
-func (s *fakeStore) put(obj platform.Object, mismatch error) (platform.Object, error) {
+func (s *fakeStore) put(obj store.Object, mismatch error) (store.Object, error) {
 	main := obj.Kind == "table"
 	if f := s.before; main && f != nil {
 		if err := f(); err != nil {
@@ -83,7 +83,7 @@
 	s.objects[id] = obj
 	if f := s.after; main && f != nil {
 		if err := f(); err != nil {
-			return platform.Object{}, err
+			return store.Object{}, err
 		}
 	}
 	return obj, nil
--- a/table/tablestore/model_test.go
+++ b/table/tablestore/model_test.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table/tablestore"
 
 	_ "github.com/boragegate/boragegate/internal/seedtest" // the same cases in every run
@@ -32,7 +32,7 @@
 // falls or is skipped, under lost replies, outages and racing operators.
 func TestOutcomes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := newFakeStore()
+		fake := newFakeStore()
 		var faults []fault
 		next := func() fault {
 			if len(faults) == 0 {
@@ -45,35 +45,35 @@
 		accepted := map[uint64]float64{}
 		other := 1000.0
 		overtake := func() {
-			before, after := store.before, store.after
-			store.before, store.after = nil, nil
-			defer func() { store.before, store.after = before, after }()
+			before, after := fake.before, fake.after
+			fake.before, fake.after = nil, nil
+			defer func() { fake.before, fake.after = before, after }()
 			var base uint64
-			if r, err := tablesFor(store).Get(ctx); err == nil {
+			if r, err := tablesFor(fake).Get(ctx); err == nil {
 				base = r.Version
 			}
 			other++
-			if r, err := apply(tablesFor(store), base, 1, other); err == nil {
+			if r, err := apply(tablesFor(fake), base, 1, other); err == nil {
 				accepted[r.Record.Version] = other
 			}
 		}
 		var now fault
-		store.before = func() error {
+		fake.before = func() error {
 			if now = next(); now == overtakenBefore {
 				overtake()
 			}
-			return map[fault]error{lostBefore: platform.ErrOutcomeUnknown, overtakenBefore: platform.ErrOutcomeUnknown, down: platform.ErrUnavailable}[now]
+			return map[fault]error{lostBefore: store.ErrOutcomeUnknown, overtakenBefore: store.ErrOutcomeUnknown, down: store.ErrUnavailable}[now]
 		}
-		store.after = func() error {
+		fake.after = func() error {
 			if now == overtakenAfter {
-				store.mu.Unlock()
+				fake.mu.Unlock()
 				overtake()
-				store.mu.Lock()
+				fake.mu.Lock()
 			}
-			return map[fault]error{lostAfter: platform.ErrOutcomeUnknown, overtakenAfter: platform.ErrOutcomeUnknown}[now]
+			return map[fault]error{lostAfter: store.ErrOutcomeUnknown, overtakenAfter: store.ErrOutcomeUnknown}[now]
 		}
 
-		operators := []*tablestore.Tables{tablesFor(store), tablesFor(store)}
+		operators := []*tablestore.Tables{tablesFor(fake), tablesFor(fake)}
 		var highest uint64
 		refused := map[float64]bool{}
 		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
@@ -87,26 +87,26 @@
 					t.Fatalf("version %d after %d", r.Record.Version, highest)
 				}
 				accepted[r.Record.Version] = weight
-			case !errors.Is(err, platform.ErrOutcomeUnknown):
+			case !errors.Is(err, store.ErrOutcomeUnknown):
 				refused[weight] = true
 			}
-			if current, err := tablesFor(store).Get(ctx); err == nil {
+			if current, err := tablesFor(fake).Get(ctx); err == nil {
 				if current.Version < highest {
 					t.Fatalf("version %d after %d", current.Version, highest)
 				}
 				highest = current.Version
 			}
 		}
-		verify(t, store, highest, accepted, refused)
+		verify(t, fake, highest, accepted, refused)
 	})
 }
 
-func tablesFor(store *fakeStore) *tablestore.Tables {
-	return tablestore.New(store, tablestore.Options{Clock: immediately{clockwork.NewRealClock()}})
+func tablesFor(fake *fakeStore) *tablestore.Tables {
+	return tablestore.New(fake, tablestore.Options{Clock: immediately{clockwork.NewRealClock()}})
 }
 
-func verify(t *rapid.T, store *fakeStore, highest uint64, accepted map[uint64]float64, refused map[float64]bool) {
-	tables := tablesFor(store)
+func verify(t *rapid.T, fake *fakeStore, highest uint64, accepted map[uint64]float64, refused map[float64]bool) {
+	tables := tablesFor(fake)
 	for v := uint64(1); v <= highest; v++ {
 		r, err := tables.Version(ctx, v)
 		if err != nil {
--- a/table/tablestore/record.go
+++ b/table/tablestore/record.go
@@ -12,7 +12,7 @@
 	"fmt"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -54,10 +54,10 @@
 	Time    time.Time `json:"time"`
 	// From is the version that a rollback restored.
 	From uint64 `json:"from,omitempty"`
-	// Writer identifies the write, see platform.Object.
+	// Writer identifies the write, see store.Object.
 	Writer string `json:"writer"`
 
-	object platform.Version
+	object store.Version
 }
 
 // value is the stored form of a record: the table with one more field.
@@ -78,7 +78,7 @@
 
 // Decode reads an object of Kind or HistoryKind. It does not check the table, so
 // that one that an earlier release accepted can still be read and corrected.
-func Decode(obj platform.Object) (*Record, error) {
+func Decode(obj store.Object) (*Record, error) {
 	var v value
 	if err := json.Unmarshal(obj.Value, &v); err != nil {
 		return nil, fmt.Errorf("tablestore: decode %s/%s: %w", obj.Kind, obj.Name, err)
--- a/table/tablestore/tables.go
+++ b/table/tablestore/tables.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 )
 
@@ -53,14 +53,14 @@
 
 // Tables reads and changes the table in a store.
 type Tables struct {
-	store   platform.Store
+	store   store.Store
 	options Options
 	// highest is the highest version seen. A read below it is stale.
 	highest atomic.Uint64
 }
 
 // New returns a Tables on a store.
-func New(store platform.Store, o Options) *Tables {
+func New(backing store.Store, o Options) *Tables {
 	if o.Retention == 0 {
 		o.Retention = DefaultRetention
 	}
@@ -70,14 +70,14 @@
 	if o.NewWriter == nil {
 		o.NewWriter = uuid.NewString
 	}
-	return &Tables{store: store, options: o}
+	return &Tables{store: backing, options: o}
 }
 
-// Get returns the current version, platform.ErrNotFound if there is none, or
+// Get returns the current version, store.ErrNotFound if there is none, or
 // ErrStaleRead if the store returns an older version than before.
 func (t *Tables) Get(ctx context.Context) (*Record, error) {
 	obj, err := t.store.Get(ctx, Kind, Name)
-	if errors.Is(err, platform.ErrNotFound) && t.highest.Load() > 0 {
+	if errors.Is(err, store.ErrNotFound) && t.highest.Load() > 0 {
 		return nil, fmt.Errorf("tablestore: no table, but version %d was read before: %w", t.highest.Load(), ErrStaleRead)
 	}
 	if err != nil {
@@ -112,7 +112,7 @@
 	if err == nil {
 		return Decode(obj)
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, store.ErrNotFound) {
 		return nil, fmt.Errorf("tablestore: get version %d: %w", version, err)
 	}
 	// The current version may not be in the history yet.
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	if r.Version != version {
-		return nil, fmt.Errorf("tablestore: version %d: %w", version, platform.ErrNotFound)
+		return nil, fmt.Errorf("tablestore: version %d: %w", version, store.ErrNotFound)
 	}
 	return r, nil
 }
@@ -147,7 +147,7 @@
 			continue
 		}
 		r, err := t.Version(ctx, next)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			return list, nil // removed by retention
 		}
 		if err != nil {
@@ -162,8 +162,8 @@
 
 // keep stores a record in the history if it is not there yet.
 func (t *Tables) keep(ctx context.Context, r *Record) error {
-	_, err := t.store.Create(ctx, platform.Object{Kind: HistoryKind, Name: historyName(r.Version), Writer: t.options.NewWriter(), Value: r.Value})
-	if err != nil && !errors.Is(err, platform.ErrExists) {
+	_, err := t.store.Create(ctx, store.Object{Kind: HistoryKind, Name: historyName(r.Version), Writer: t.options.NewWriter(), Value: r.Value})
+	if err != nil && !errors.Is(err, store.ErrExists) {
 		return fmt.Errorf("tablestore: keep version %d: %w", r.Version, err)
 	}
 	return nil
--- a/table/tablestore/tables_test.go
+++ b/table/tablestore/tables_test.go
@@ -15,7 +15,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/boragegate/boragegate/finding"
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 	"github.com/boragegate/boragegate/table"
 	"github.com/boragegate/boragegate/table/tablestore"
 )
@@ -42,7 +42,7 @@
 	return t
 }
 
-func newTables(s platform.Store) *tablestore.Tables {
+func newTables(s store.Store) *tablestore.Tables {
 	return tablestore.New(s, tablestore.Options{Clock: clockwork.NewRealClock(), Retention: 3})
 }
 
@@ -60,21 +60,21 @@
 	Expect(err).NotTo(HaveOccurred())
 	_, same := apply(tables, 1, 1, 3)
 	_, other := apply(tables, 1, 3, 1)
-	Expect(same).To(MatchError(platform.ErrConflict))
+	Expect(same).To(MatchError(store.ErrConflict))
 	goldie.New(t).Assert(t, "conflict", []byte(fmt.Sprintf("%v\n\n%v\n", same, other)))
 }
 
 var _ = Describe("Tables", func() {
-	var store *fakeStore
+	var fake *fakeStore
 	var tables *tablestore.Tables
 	BeforeEach(func() {
-		store = newFakeStore()
-		tables = newTables(store)
+		fake = newFakeStore()
+		tables = newTables(fake)
 		_, err := apply(tables, 0, 1, 1)
 		Expect(err).NotTo(HaveOccurred())
 	})
 	current := func() *tablestore.Record {
-		r, err := newTables(store).Get(ctx)
+		r, err := newTables(fake).Get(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		return r
 	}
@@ -97,7 +97,7 @@
 
 	It("stores a value that plain readers of the table can decode", func() {
 		var plain table.Table
-		Expect(json.Unmarshal(store.objects["table/current"].Value, &plain)).To(Succeed())
+		Expect(json.Unmarshal(fake.objects["table/current"].Value, &plain)).To(Succeed())
 		Expect(plain.Version).To(Equal(uint64(1)))
 		Expect(table.Diff(&plain, weights(1, 1)).Empty()).To(BeTrue())
 	})
@@ -125,7 +125,7 @@
 		errs := make([]error, 8)
 		var wg sync.WaitGroup
 		for i := range errs {
-			wg.Go(func() { _, errs[i] = apply(newTables(store), 1, 1, float64(i+2)) })
+			wg.Go(func() { _, errs[i] = apply(newTables(fake), 1, 1, float64(i+2)) })
 		}
 		wg.Wait()
 		accepted := 0
@@ -152,20 +152,20 @@
 	})
 
 	It("never returns an older version or a missing table after a newer one", func() {
-		old := store.objects["table/current"]
+		old := fake.objects["table/current"]
 		_, err := apply(tables, 1, 1, 2)
 		Expect(err).NotTo(HaveOccurred())
-		store.read = func() (platform.Object, error) { return old, nil }
+		fake.read = func() (store.Object, error) { return old, nil }
 		_, err = tables.Get(ctx)
 		Expect(err).To(MatchError(tablestore.ErrStaleRead))
-		store.read = func() (platform.Object, error) { return old, platform.ErrNotFound }
+		fake.read = func() (store.Object, error) { return old, store.ErrNotFound }
 		_, err = tables.Get(ctx)
 		Expect(err).To(MatchError(tablestore.ErrStaleRead))
 	})
 
 	It("continues above the history when the current object is lost", func() {
-		delete(store.objects, "table/current")
-		r, err := apply(newTables(store), 0, 1, 2)
+		delete(fake.objects, "table/current")
+		r, err := apply(newTables(fake), 0, 1, 2)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Record.Version).To(Equal(uint64(2)))
 	})
@@ -182,12 +182,12 @@
 				if then != nil {
 					then()
 				}
-				return platform.ErrOutcomeUnknown
+				return store.ErrOutcomeUnknown
 			}
 		}
 
 		It("recognises its own write after re-reading", func() {
-			store.after = once(nil)
+			fake.after = once(nil)
 			r, err := apply(tables, 1, 1, 2)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(r.Record.Version).To(Equal(uint64(2)))
@@ -195,7 +195,7 @@
 		})
 
 		It("writes again when the first write did not take effect", func() {
-			store.before = once(nil)
+			fake.before = once(nil)
 			r, err := apply(tables, 1, 1, 2)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(current().Version).To(Equal(r.Record.Version))
@@ -203,16 +203,16 @@
 
 		It("recognises its own write below a later version of another operator", func() {
 			lost := once(nil)
-			store.after = func() error {
+			fake.after = func() error {
 				if err := lost(); err == nil {
 					return nil
 				}
-				store.after = nil
-				store.mu.Unlock()
-				defer store.mu.Lock()
-				_, err := apply(newTables(store), 2, 1, 9)
+				fake.after = nil
+				fake.mu.Unlock()
+				defer fake.mu.Lock()
+				_, err := apply(newTables(fake), 2, 1, 9)
 				Expect(err).NotTo(HaveOccurred())
-				return platform.ErrOutcomeUnknown
+				return store.ErrOutcomeUnknown
 			}
 			r, err := apply(tables, 1, 1, 2)
 			Expect(err).NotTo(HaveOccurred())
@@ -221,30 +221,30 @@
 		})
 
 		It("reports a conflict when another operator's write came first", func() {
-			store.before = once(func() {
-				store.before = nil
-				_, err := apply(newTables(store), 1, 1, 9)
+			fake.before = once(func() {
+				fake.before = nil
+				_, err := apply(newTables(fake), 1, 1, 9)
 				Expect(err).NotTo(HaveOccurred())
 			})
 			_, err := apply(tables, 1, 1, 2)
-			Expect(err).To(MatchError(platform.ErrConflict))
+			Expect(err).To(MatchError(store.ErrConflict))
 		})
 
-		It("reports an unknown outcome when the store cannot be asked", func() {
+		It("reports an unknown outcome when the fake cannot be asked", func() {
 			short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
 			defer cancel()
-			store.after = func() error {
-				store.read = func() (platform.Object, error) { return platform.Object{}, platform.ErrUnavailable }
-				return platform.ErrOutcomeUnknown
+			fake.after = func() error {
+				fake.read = func() (store.Object, error) { return store.Object{}, store.ErrUnavailable }
+				return store.ErrOutcomeUnknown
 			}
 			_, err := tables.Apply(short, tablestore.Request{Table: weights(1, 2), Base: 1})
-			Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+			Expect(err).To(MatchError(store.ErrOutcomeUnknown))
 		})
 	})
 
 	It("announces before it writes, and writes nothing if that fails", func() {
 		a := &announcer{}
-		tables = tablestore.New(store, tablestore.Options{Announcer: a})
+		tables = tablestore.New(fake, tablestore.Options{Announcer: a})
 		a.check = func() { Expect(current().Version).To(Equal(uint64(1))) }
 		_, err := apply(tables, 1, 1, 2)
 		Expect(err).NotTo(HaveOccurred())
--- a/table/tablestore/write.go
+++ b/table/tablestore/write.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/boragegate/boragegate/platform"
+	"github.com/boragegate/boragegate/store"
 )
 
 // write makes a record the current one if the store still has the version that
@@ -23,7 +23,7 @@
 	if err := t.announce(ctx, r.Version); err != nil {
 		return err
 	}
-	obj := platform.Object{Kind: Kind, Name: Name, Writer: r.Writer, Value: r.Value}
+	obj := store.Object{Kind: Kind, Name: Name, Writer: r.Writer, Value: r.Value}
 	if current != nil {
 		obj.Version = current.object
 	}
@@ -62,7 +62,7 @@
 
 // put writes until the outcome is known. Repeating is safe: the write is
 // conditional on the version read, so it takes effect at most once.
-func (t *Tables) put(ctx context.Context, obj platform.Object, r *Record) error {
+func (t *Tables) put(ctx context.Context, obj store.Object, r *Record) error {
 	lost := false
 	for attempt := 1; ; attempt++ {
 		stored, err := t.putOnce(ctx, obj)
@@ -70,7 +70,7 @@
 		case err == nil:
 			r.object = stored.Version
 			return nil
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists), errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrExists), errors.Is(err, store.ErrNotFound):
 			if !lost {
 				return errRaced
 			}
@@ -85,7 +85,7 @@
 	}
 }
 
-func (t *Tables) putOnce(ctx context.Context, obj platform.Object) (platform.Object, error) {
+func (t *Tables) putOnce(ctx context.Context, obj store.Object) (store.Object, error) {
 	if obj.Version == 0 {
 		return t.store.Create(ctx, obj)
 	}
@@ -94,7 +94,7 @@
 
 // uncertain reports whether a write that failed may have taken effect.
 func uncertain(err error) bool {
-	return errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	return errors.Is(err, store.ErrOutcomeUnknown) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
 
 func (t *Tables) wait(ctx context.Context) bool {
