End requests whose caller has gone, and follow the store at once when the leader loses it

Change: the end of such a request is a value of its own; news say that the store does not answer the leader, and followers then follow it themselves at once.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -33,7 +33,7 @@
 	// another instance may take over. It is above the wait of a poll of the leader.
 	storeStale = 3 * time.Second
 	// refusedPatience is the time for which a leader whose address refuses
-	// connections may start to listen.
+	// connections may start to listen, or may reach the store again.
 	refusedPatience = 250 * time.Millisecond
 	// takeOverSpread spreads the instances that want to take over.
 	takeOverSpread = 300 * time.Millisecond
@@ -43,8 +43,9 @@
 	// storeFresh is the age of the last answer of the store up to which it counts as reachable.
 	storeFresh = time.Second
 	// ownFollowAfter is the time without a leader after which an instance follows
-	// configuration and targets in the store by itself.
-	ownFollowAfter = 1500 * time.Millisecond
+	// configuration and targets in the store by itself: changes must be in force
+	// within 2 s, and the loss of a leader takes up to 1.2 s to notice.
+	ownFollowAfter = 200 * time.Millisecond
 )
 
 // control has the state of the control goroutine. Its methods run on that
@@ -83,11 +84,13 @@
 	newsAt   time.Duration
 	leaderAt time.Duration // last answer of the store to the leader, as far as known
 	refused  bool
-	suspect  time.Duration // begin of the doubt about the leader, 0 if there is none
-	spread   time.Duration
-	taking   bool
-	lostLead time.Duration
-	noLeader time.Duration // begin of the time without a leader
+	// leaderLost says that the store does not answer the leader.
+	leaderLost bool
+	suspect    time.Duration // begin of the doubt about the leader, 0 if there is none
+	spread     time.Duration
+	taking     bool
+	lostLead   time.Duration
+	noLeader   time.Duration // begin of the time without a leader
 
 	reportedAt time.Duration // last report of the load to the leader
 
@@ -164,7 +167,7 @@
 
 // hears reports whether the leader is alive and reaches the store.
 func (c *control) hears(now time.Duration) bool {
-	return c.link != nil && c.newsAt > 0 && now-c.newsAt < newsFresh && now-c.leaderAt < storeStale
+	return c.link != nil && c.newsAt > 0 && now-c.newsAt < newsFresh && now-c.leaderAt < storeStale && !c.leaderLost
 }
 
 // elect takes over if there is no leader.
@@ -219,7 +222,7 @@
 	switch {
 	case c.record == nil, c.record.Leader.ID == c.self.ID:
 		return 0
-	case c.refused:
+	case c.refused, c.leaderLost:
 		return refusedPatience
 	default:
 		return newsFresh
@@ -333,7 +336,7 @@
 	if c.lead != nil {
 		c.stepDown("another instance leads")
 	}
-	c.suspect, c.newsAt, c.leaderAt, c.refused = 0, 0, 0, false
+	c.suspect, c.newsAt, c.leaderAt, c.refused, c.leaderLost = 0, 0, 0, false, false
 	c.log.Info().Str("event", "leader.seen").Str("leader", r.Leader.ID).Uint64("term", r.Term).Send()
 	c.dialLeader()
 }
@@ -353,6 +356,9 @@
 	c.metrics.storeErrors.Inc(1)
 	if c.storeFailed == 0 {
 		c.storeFailed = now
+		if c.lead != nil {
+			c.lead.broadcast(news{})
+		}
 		c.log.Warn().Str("event", "store.lost").Dur("last_answer_ms", now-c.storeAt).Err(err).Send()
 	}
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -16,10 +16,7 @@
 const (
 	// pollWait is the longest wait of one poll. A connection that went silent is
 	// noticed soon after it, well within the time in which a change must be in force.
-	pollWait = 1500 * time.Millisecond
-	// ownershipWait is the wait of a poll of the ownership record. The leader's
-	// right to renew counts from the start of such a call.
-	ownershipWait = time.Second
+	pollWait = 800 * time.Millisecond
 	// pollPause is the time after a poll with changes in which others gather.
 	pollPause = 30 * time.Millisecond
 	// storeRetry is the time between calls while the store does not answer.
@@ -60,11 +57,7 @@
 			c.post(func() { c.listed(ctx, sent, kind, objects, version) })
 			continue
 		}
-		longest := pollWait
-		if kind == ownershipKind {
-			longest = ownershipWait
-		}
-		events, version, err := c.store.Poll(ctx, kind, at, longest)
+		events, version, err := c.store.Poll(ctx, kind, at, pollWait)
 		switch {
 		case errors.Is(err, store.ErrTooOld):
 			at = 0
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -202,24 +202,27 @@
 func (c *call) run(ctx context.Context) *ingress.Response {
 	for {
 		again, response := c.next(ctx)
-		if response != nil {
-			return response
-		}
-		if c.running == 0 {
-			continue
+		if response == nil && c.running > 0 {
+			response = c.wait(ctx, again)
 		}
-		response = c.wait(ctx, again)
-		if response != nil {
+		switch response {
+		case nil:
+		case noAnswer:
+			return nil
+		default:
 			return response
 		}
 	}
 }
 
+// noAnswer stands for the end of a request whose caller has gone.
+var noAnswer = &ingress.Response{}
+
 // next decides and starts an attempt. It returns the time after which the
 // request may be sent once more, 0 if it may not.
 func (c *call) next(ctx context.Context) (time.Duration, *ingress.Response) {
 	left := time.Until(c.deadline)
-	if left <= 0 {
+	if left <= 0 || ctx.Err() != nil {
 		return 0, c.gaveUp(ctx)
 	}
 	r := &dispatch.Request{
@@ -468,7 +471,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		c.f.decided(c, c.in, 0, "caller_gone").Send()
 		c.f.metrics.answered(c.route.Kind.String(), "caller_gone", time.Since(c.in.Arrived))
-		return nil
+		return noAnswer
 	}
 	if c.failure != nil {
 		return c.pass(c.failure)
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -140,6 +140,7 @@
 	}
 	now := socket.BootTime()
 	c.term, c.newsAt, c.leaderAt, c.refused = n.Term, now, now-n.StoreAge, false
+	c.leaderLost = n.StoreLost
 	c.setInstances(n.Instances)
 	if n.Config != nil {
 		c.configSeen(store.Object{Kind: c.configKind(), Name: n.Config.Name, Version: n.Config.Version, Value: n.Config.Value})
@@ -333,6 +334,7 @@
 // gets everything anew.
 func (l *leadership) send(n news, to ...*follower) {
 	n.Term, n.Instances = l.granter.Term(), len(l.followers)+1
+	n.StoreLost = l.c.storeFailed > 0
 	n.StoreAge = max(l.granter.StoreAge(socket.BootTime()), 0)
 	frame, err := encodeFrame(kindNews, n)
 	if err != nil {
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -36,6 +36,8 @@
 	Term uint64 `msgpack:"t"`
 	// StoreAge is the time since the store last answered the leader.
 	StoreAge time.Duration `msgpack:"a"`
+	// StoreLost says that the store does not answer the leader.
+	StoreLost bool `msgpack:"l,omitempty"`
 	// Instances is the number of instances that the leader knows, itself included.
 	Instances int         `msgpack:"m"`
 	Config    *configNews `msgpack:"c,omitempty"`
