--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,9 +17,15 @@
 )
 
 const (
-	// reportHalfLife is the age at which a target's report of its load counts half.
-	// Requests take about a tenth of a second, so older reports say little.
+	// reportHalfLife is the age at which a target's last report of its load counts
+	// half, and the average of its reports the other half. Requests take about a
+	// tenth of a second, so older reports say little of the moment.
 	reportHalfLife = 200 * time.Millisecond
+	// averageHalfLife is the age of the last report at which the average counts
+	// half. It is above the time between two answers of one target to one instance.
+	averageHalfLife = time.Second
+	// averageWeight is the weight of a report in the average.
+	averageWeight = 0.25
 	// latencyWeight is the weight of a new sample in the average service time.
 	latencyWeight = 0.1
 	// defaultServiceTime stands for targets of which nothing is known.
@@ -39,8 +45,9 @@
 	zonePenalty     = 4 * time.Millisecond
 	bulkZonePenalty = 60 * time.Millisecond
 	// lateFactor times the route's objective is the expected time from which a
-	// request is rejected: later answers help little and delay those behind them.
-	lateFactor = 1.6
+	// request is rejected: a queue that is longer makes all later ones late. It is
+	// below 1 because the load of a target is known with a delay.
+	lateFactor = 0.9
 	// minRetryAfter is the shortest time after which a caller is asked back.
 	minRetryAfter = 50 * time.Millisecond
 	// maxRetryAfter bounds the time for which a caller is sent away.
@@ -119,6 +126,8 @@
 	own        int
 	reportedAt time.Duration
 	hasReport  bool
+	// others is the average of what the target reported beyond this instance's own.
+	others float64
 	// serviceTime is the average time of a request without waiting, 0 if unknown.
 	serviceTime time.Duration
 	failureRate float64
@@ -306,8 +315,10 @@
 	d := Decision{Target: t.Target, Load: float64(t.inFlight), ReportAge: -1}
 	if t.hasReport {
 		d.ReportAge = now - t.reportedAt
-		others := float64(max(t.reported-t.own, 0))
-		d.Load += others * math.Exp2(-float64(d.ReportAge)/float64(reportHalfLife))
+		last := float64(max(t.reported-t.own, 0))
+		recent := math.Exp2(-float64(d.ReportAge) / float64(reportHalfLife))
+		average := t.others * math.Exp2(-float64(d.ReportAge)/float64(averageHalfLife))
+		d.Load += last*recent + average*(1-recent)
 	}
 	service := float64(b.serviceTime(t))
 	if now < t.coldUntil {
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,197 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/dispatch"
+	_ "github.com/boragegate/boragegate/internal/seedtest" // the same cases in every run
+	"github.com/boragegate/boragegate/routing"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatch")
+}
+
+func target(id, zone string, slots int) routing.Target {
+	return routing.Target{ID: id, Zone: zone, Slots: slots, Address: id}
+}
+
+// booking is a request without a key, as callers of both users send them.
+var booking = dispatch.Request{Service: "svc", Kind: routing.AtMostOnce, Key: -1, Left: 1200 * time.Millisecond, Objective: 400 * time.Millisecond}
+
+func eight(work time.Duration) []*server {
+	var list []*server
+	for i := range 8 {
+		list = append(list, &server{Target: target(string(rune('a'+i)), "z", 6), work: work})
+	}
+	return list
+}
+
+var _ = Describe("load", func() {
+	It("serves a steady load of two thirds of the capacity on time", func() {
+		// Guards against a choice that crowds some targets while others idle:
+		// eight instances that each see an eighth of the load.
+		m := newModel(8, eight(120*time.Millisecond)...)
+		m.offer(270, 20*time.Second, booking)
+		m.run(25 * time.Second)
+		Expect(float64(m.onTime) / float64(m.offered)).To(BeNumerically(">", 0.98))
+	})
+
+	It("sends less to a slow target", func() {
+		// Guards against late answers from one target that is five times slower.
+		servers := eight(120 * time.Millisecond)
+		servers[0].work *= 5
+		m := newModel(8, servers...)
+		m.offer(200, 20*time.Second, booking)
+		m.run(25 * time.Second)
+		Expect(m.sent["a"]).To(BeNumerically("<", m.sent["b"]/2))
+		Expect(float64(m.onTime) / float64(m.offered)).To(BeNumerically(">", 0.9))
+	})
+
+	It("leaves out a target that does not answer", func() {
+		// Guards against a silent crash that costs an eighth of all requests.
+		servers := eight(120 * time.Millisecond)
+		servers[0].dark = true
+		m := newModel(8, servers...)
+		m.offer(200, 20*time.Second, booking)
+		m.run(25 * time.Second)
+		Expect(float64(m.sent["a"]) / float64(m.offered)).To(BeNumerically("<", 0.06))
+	})
+
+	It("keeps a hot key's holder busy with requests that are on time, and rejects the rest at once", func() {
+		// Guards against a queue in which all requests are late: 3 times the capacity
+		// of the holder of one key.
+		s := &server{Target: target("a", "z", 6), work: 90 * time.Millisecond}
+		m := newModel(8, s)
+		for _, b := range m.boards {
+			b.SetOwners("svc", []dispatch.Owner{{Span: routing.Span{To: routing.Keys - 1}, Holder: s.Lifetime(), Ready: true}})
+		}
+		m.offer(200, 10*time.Second, dispatch.Request{
+			Service: "svc", Key: 7, Left: time.Second, Objective: 300 * time.Millisecond,
+		})
+		m.run(12 * time.Second)
+		capacity := 6 / 0.09 * 10
+		Expect(float64(m.onTime)).To(BeNumerically(">", 0.6*capacity))
+		Expect(m.rejected).To(BeNumerically(">", m.offered/2))
+	})
+})
+
+var _ = Describe("Board", func() {
+	var b *dispatch.Board
+	a, z := target("a", "here", 1), target("z", "there", 1)
+	BeforeEach(func() {
+		a.Service, z.Service = "svc", "svc"
+		b = dispatch.NewBoard("here", dispatch.RepeatBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
+		b.SetTargets(0, []routing.Target{a, z})
+	})
+	keyed := func(key int) *dispatch.Request {
+		return &dispatch.Request{Service: "svc", Key: key, Left: time.Second, Objective: 300 * time.Millisecond}
+	}
+
+	It("prefers the own zone for large answers", func() {
+		r := booking
+		r.Kind = routing.Bulk
+		Expect(b.Choose(0, &r).Target.ID).To(Equal("a"))
+	})
+
+	It("sends nothing to a target that leaves", func() {
+		leaving := a
+		leaving.Draining = true
+		b.SetTargets(0, []routing.Target{leaving, z})
+		r := booking
+		Expect(b.Choose(0, &r).Target.ID).To(Equal("z"))
+		b.SetTargets(0, []routing.Target{leaving})
+		Expect(b.Choose(0, &r).Verdict).To(Equal(dispatch.Reject))
+	})
+
+	It("does not send a request to a target twice", func() {
+		r := booking
+		r.Tried = []string{"a"}
+		Expect(b.Choose(0, &r).Target.ID).To(Equal("z"))
+	})
+
+	DescribeTable("routes a key to its holder",
+		func(key int, want string, verdict dispatch.Verdict) {
+			// Guards against requests at targets that do not hold their key.
+			b.SetOwners("svc", []dispatch.Owner{
+				{Span: routing.Span{From: 0, To: 9}, Holder: a.Lifetime(), Ready: true},
+				{Span: routing.Span{From: 10, To: 19}, Holder: z.Lifetime(), Ready: true},
+				{Span: routing.Span{From: 20, To: 29}, Holder: a.Lifetime(), Wait: 100 * time.Millisecond},
+				{Span: routing.Span{From: 30, To: routing.Keys - 1}, Holder: a.Lifetime(), Wait: 3 * time.Second},
+			})
+			d := b.Choose(0, keyed(key))
+			Expect(d.Verdict).To(Equal(verdict))
+			Expect(d.Target.ID).To(Equal(want))
+		},
+		Entry("first key", 0, "a", dispatch.Send),
+		Entry("last key of a span", 9, "a", dispatch.Send),
+		Entry("next span", 10, "z", dispatch.Send),
+		Entry("keys on the move", 20, "", dispatch.Hold),
+		Entry("keys that come back too late", 65535, "", dispatch.Reject),
+	)
+
+	It("rejects at once while the holder of a key is unreachable, and tries it again later", func() {
+		b.SetOwners("svc", []dispatch.Owner{{Span: routing.Span{To: routing.Keys - 1}, Holder: a.Lifetime(), Ready: true}})
+		for range 3 {
+			b.Started(a.Lifetime())
+			b.Finished(0, a.Lifetime(), dispatch.Broken, time.Second, nil)
+		}
+		Expect(b.Choose(0, keyed(1)).Verdict).To(Equal(dispatch.Reject))
+		Expect(b.Choose(time.Second, keyed(1)).Verdict).To(Equal(dispatch.Send))
+	})
+
+	It("asks callers back within bounds", func() {
+		// Guards against a Retry-After of zero, which is a loop, and of minutes.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			b.SetOwners("svc", []dispatch.Owner{{
+				Span: routing.Span{To: routing.Keys - 1}, Holder: a.Lifetime(),
+				Wait: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "wait")),
+			}})
+			if d := b.Choose(0, keyed(1)); d.Verdict == dispatch.Reject && (d.RetryAfter < 50*time.Millisecond || d.RetryAfter > 2*time.Second) {
+				t.Fatalf("retry after %s", d.RetryAfter)
+			}
+		})
+	})
+})
+
+var _ = Describe("RepeatBudget", func() {
+	It("keeps repeats within the ratio and the slack in any window", func() {
+		// Guards against repeats that multiply the load of a failing service.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			b := &dispatch.RepeatBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+			now := time.Duration(0)
+			var requests, repeats []time.Duration
+			for range rapid.IntRange(10, 400).Draw(t, "steps") {
+				now += time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond
+				if rapid.Bool().Draw(t, "request") {
+					b.Request(now)
+					requests = append(requests, now)
+				} else if b.Take(now) {
+					repeats = append(repeats, now)
+				}
+			}
+			for _, from := range repeats {
+				inWindow, allowed := 0, 10.0
+				for _, at := range repeats {
+					if at >= from && at < from+10*time.Second {
+						inWindow++
+					}
+				}
+				for _, at := range requests { // those of this window and of the one before it
+					if at >= from-10*time.Second && at < from+10*time.Second {
+						allowed += 0.2
+					}
+				}
+				if float64(inWindow) > allowed {
+					t.Fatalf("%d repeats, %.1f allowed", inWindow, allowed)
+				}
+			}
+		})
+	})
+})
--- a/dispatch/feedback.go
+++ b/dispatch/feedback.go
@@ -56,6 +56,7 @@
 	t.inFlight = max(t.inFlight-1, 0)
 	if report != nil {
 		t.reported, t.own, t.reportedAt, t.hasReport = report.Running+report.Waiting, t.inFlight, now, true
+		t.others += averageWeight * (float64(max(t.reported-t.own, 0)) - t.others)
 		load = max(load, report.Running+report.Waiting)
 	}
 	switch result {
--- /dev/null
+++ b/dispatch/model_test.go
@@ -0,0 +1,134 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/boragegate/boragegate/dispatch"
+	"github.com/boragegate/boragegate/routing"
+)
+
+// model is a service under load in virtual time: several instances, each with
+// its own board, send to servers with slots and a queue.
+type model struct {
+	now     time.Duration
+	rand    *rand.Rand
+	boards  []*dispatch.Board
+	servers map[routing.Lifetime]*server
+	events  []event
+
+	offered, onTime, late, rejected, failed int
+	sent                                    map[string]int
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// server runs Slots requests at a time and queues some more.
+type server struct {
+	routing.Target
+	work    time.Duration // mean
+	dark    bool          // answers nothing
+	shed    float64       // share of requests that it refuses at random
+	running int
+	waiting []func()
+}
+
+const serverQueue = 24
+
+func newModel(instances int, servers ...*server) *model {
+	m := &model{rand: rand.New(rand.NewPCG(1, 2)), servers: map[routing.Lifetime]*server{}, sent: map[string]int{}}
+	var targets []routing.Target
+	for _, s := range servers {
+		s.Service, s.Incarnation = "svc", 1
+		m.servers[s.Lifetime()] = s
+		targets = append(targets, s.Target)
+	}
+	for range instances {
+		b := dispatch.NewBoard("z", dispatch.RepeatBudget{Ratio: 0.2, Slack: 7, Window: 10 * time.Second})
+		b.SetTargets(0, targets)
+		m.boards = append(m.boards, b)
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	e := event{m.now + d, do}
+	i, _ := slices.BinarySearchFunc(m.events, e, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	m.events = slices.Insert(m.events, i, e)
+}
+
+func (m *model) run(until time.Duration) {
+	for len(m.events) > 0 && m.events[0].at <= until {
+		e := m.events[0]
+		m.events = m.events[1:]
+		m.now = e.at
+		e.do()
+	}
+	m.now = until
+}
+
+// offer sends requests at the rate until the time.
+func (m *model) offer(perSecond float64, until time.Duration, r dispatch.Request) {
+	gap := time.Duration(m.rand.ExpFloat64() / perSecond * float64(time.Second))
+	if m.now+gap > until {
+		return
+	}
+	m.after(gap, func() {
+		m.request(m.boards[m.rand.IntN(len(m.boards))], r)
+		m.offer(perSecond, until, r)
+	})
+}
+
+func (m *model) request(b *dispatch.Board, r dispatch.Request) {
+	m.offered++
+	b.Request(m.now, r.Service)
+	d := b.Choose(m.now, &r)
+	if d.Verdict != dispatch.Send {
+		m.rejected++
+		return
+	}
+	id, began := d.Target.Lifetime(), m.now
+	s := m.servers[id]
+	m.sent[s.ID]++
+	b.Started(id)
+	finish := func(result dispatch.Result) {
+		took := m.now - began
+		b.Finished(m.now, id, result, took, &dispatch.Report{Running: s.running, Waiting: len(s.waiting)})
+		switch {
+		case result != dispatch.Answered:
+			m.failed++
+		case took <= r.Objective:
+			m.onTime++
+		default:
+			m.late++
+		}
+	}
+	work := func() {
+		s.running++
+		took := time.Duration(float64(s.work) * (0.5 + m.rand.Float64()))
+		m.after(took, func() {
+			s.running--
+			finish(dispatch.Answered)
+			if len(s.waiting) > 0 {
+				next := s.waiting[0]
+				s.waiting = s.waiting[1:]
+				next()
+			}
+		})
+	}
+	switch {
+	case s.dark:
+		m.after(r.Left, func() { b.Finished(m.now, id, dispatch.Broken, r.Left, nil); m.failed++ })
+	case m.rand.Float64() < s.shed || s.running >= s.Slots && len(s.waiting) >= serverQueue:
+		m.after(time.Millisecond, func() { finish(dispatch.Shed) })
+	case s.running >= s.Slots:
+		s.waiting = append(s.waiting, work)
+	default:
+		work()
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,6 +34,9 @@
 	// notReadyTime is the time after SIGTERM for which new connections may still
 	// come: the balancer asks once a second and needs two refusals.
 	notReadyTime = 2500 * time.Millisecond
+	// refuseShare is the part of the grace period after which a stopping instance
+	// refuses requests that still come, so that those it has taken can end.
+	refuseShare = 0.5
 	// stopMargin is the part of the grace period that is left when the last
 	// requests are given up.
 	stopMargin = 300 * time.Millisecond
@@ -61,6 +65,8 @@
 	caller   net.Listener
 	peers    net.Listener
 	stopping chan struct{}
+	// refusing says that no more requests are taken.
+	refusing atomic.Bool
 }
 
 // New returns an instance that has not started.
@@ -77,7 +83,7 @@
 	i.client = &upstream.Client{
 		IDHeader: p.Headers().RequestID, MaxConnections: i.maxConnections, OnDial: func() { i.metrics.dials.Inc(1) },
 	}
-	f := &forwarder{shared: i.shared, client: i.client, platform: p, headers: p.Headers(), log: log, metrics: i.metrics}
+	f := &forwarder{shared: i.shared, client: i.client, platform: p, headers: p.Headers(), log: log, metrics: i.metrics, refusing: &i.refusing}
 	i.ingress = &ingress.Server{
 		Handler: f.handle, Limits: i.limits, StartsAlone: i.startsAlone,
 		OnAbort: func(reason string, unanswered int) {
@@ -218,9 +224,11 @@
 		}
 	})
 	i.ingress.Drain()
+	refuse := time.AfterFunc(time.Duration(refuseShare*float64(i.settings.GracePeriod)), func() { i.refusing.Store(true) })
+	defer refuse.Stop()
 	end := began.Add(i.settings.GracePeriod - stopMargin)
 	for time.Now().Before(end) && ctx.Err() == nil {
-		if time.Since(began) > notReadyTime && i.ingress.InFlight() == 0 {
+		if (time.Since(began) > notReadyTime || i.refusing.Load()) && i.ingress.InFlight() == 0 {
 			break
 		}
 		time.Sleep(drainPoll)
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,6 +24,8 @@
 	budgetRetryAfter = 500 * time.Millisecond
 	// noConfigRetryAfter is sent while no configuration is known.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is sent by an instance that stops: others serve at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// maxUnsent is the number of targets that are tried without sending anything.
 	maxUnsent = 3
 	// unsentPause is the time before the holder of a key is tried again that could not be reached.
@@ -41,6 +43,7 @@
 const (
 	reasonBudget   = "repeat_budget"
 	reasonNoConfig = "no_config"
+	reasonStopping = "stopping"
 	reasonNoRoute  = "no_route"
 	reasonTimeout  = "timeout"
 	reasonUnsent   = "target_unreachable"
@@ -59,10 +62,15 @@
 	metrics  *meters
 	// turn numbers requests, to divide them over the parts of a route.
 	turn atomic.Uint64
+	// refusing says that the instance is about to stop.
+	refusing *atomic.Bool
 }
 
 // handle is an ingress.Handler.
 func (f *forwarder) handle(ctx context.Context, r *ingress.Request) *ingress.Response {
+	if f.refusing.Load() {
+		return f.refuse(nil, r, reasonStopping, stoppingRetryAfter)
+	}
 	config := f.shared.config.Load()
 	if config == nil {
 		return f.refuse(nil, r, reasonNoConfig, noConfigRetryAfter)
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,197 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/boragegate/boragegate/internal/ingress"
+)
+
+func TestIngress(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ingress")
+}
+
+var _ = Describe("Server", func() {
+	var (
+		server  *ingress.Server
+		address string
+		gone    chan string
+		release chan struct{}
+	)
+	BeforeEach(func() {
+		ignore := goleak.IgnoreCurrent()
+		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
+		gone, release = make(chan string, 10), make(chan struct{})
+		server = &ingress.Server{
+			Limits:      func() ingress.Limits { l := ingress.DefaultLimits; l.HeaderBytes = 4 << 10; l.BodyBytes = 1 << 20; return l },
+			StartsAlone: func(r *http.Request) bool { return r.Method == http.MethodPost },
+		}
+		server.Handler = func(ctx context.Context, r *ingress.Request) *ingress.Response {
+			body := []byte(r.URL.Path)
+			switch {
+			case strings.HasPrefix(r.URL.Path, "/slow"):
+				select {
+				case <-release:
+				case <-ctx.Done():
+					gone <- r.URL.Path
+					return nil
+				}
+			case strings.HasPrefix(r.URL.Path, "/body"):
+				body = r.Body
+				if r.Rest != nil {
+					rest, err := io.ReadAll(r.Rest)
+					if err != nil {
+						return nil
+					}
+					body = []byte(strconv.Itoa(len(body) + len(rest)))
+				}
+			case r.URL.Path == "/broken":
+				return &ingress.Response{Status: 200, Header: http.Header{}, Length: 100, Stream: io.NopCloser(strings.NewReader("short"))}
+			case r.URL.Path == "/stream":
+				return &ingress.Response{Status: 200, Header: http.Header{}, Length: -1, Body: []byte("ab"), Stream: io.NopCloser(strings.NewReader("cd"))}
+			case r.URL.Path == "/refused":
+				return &ingress.Response{Status: 503, Header: http.Header{"Retry-After": {"0.1"}}, Close: true}
+			case r.URL.Path == "/nothing":
+				return nil
+			}
+			return &ingress.Response{Status: 200, Header: http.Header{"Connection": {"X"}}, Body: body}
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = l.Addr().String()
+		served := make(chan struct{})
+		go func() { defer close(served); _ = server.Serve(l) }()
+		DeferCleanup(func() { _ = l.Close(); <-served; server.Close() })
+	})
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	send := func(c net.Conn, text string) {
+		_, err := io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	answer := func(r *bufio.Reader) (*http.Response, string, error) {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return nil, "", err
+		}
+		body, err := io.ReadAll(resp.Body)
+		return resp, string(body), err
+	}
+
+	It("answers requests that were sent ahead at the same time and in order", func() {
+		// Guards against an answer that reaches the request before or after its own.
+		c, r := dial()
+		send(c, "GET /slow HTTP/1.1\nHost: h\n\nGET /b HTTP/1.1\nHost: h\n\nGET /c HTTP/1.1\nHost: h\n\n")
+		Consistently(r.Buffered, "50ms").Should(BeZero())
+		close(release)
+		for _, want := range []string{"/slow", "/b", "/c"} {
+			_, body, err := answer(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(want))
+		}
+	})
+
+	It("tells all handlers of a connection that the caller has gone", func() {
+		// Guards against requests that are sent on for callers which have left.
+		c, _ := dial()
+		send(c, "GET /slow/1 HTTP/1.1\nHost: h\n\nGET /slow/2 HTTP/1.1\nHost: h\n\n")
+		Eventually(server.InFlight).Should(Equal(2))
+		Expect(c.Close()).To(Succeed())
+		Eventually(gone).Should(Receive())
+		Eventually(gone).Should(Receive())
+		Eventually(server.Connections).Should(BeZero())
+	})
+
+	It("does not start a request that must not be repeated before those ahead of it are answered", func() {
+		// Guards against a request that runs and is sent again, because it stood
+		// behind an answer that closed the connection.
+		c, r := dial()
+		send(c, "GET /refused HTTP/1.1\nHost: h\nConnection: close\n\nPOST /slow HTTP/1.1\nHost: h\nContent-Length: 0\n\n")
+		resp, _, err := answer(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Close).To(BeTrue())
+		_, _, err = answer(r)
+		Expect(err).To(HaveOccurred())
+		Expect(server.InFlight()).To(BeZero())
+	})
+
+	DescribeTable("does not let a broken answer look complete",
+		func(path string) {
+			c, r := dial()
+			send(c, "GET "+path+" HTTP/1.1\nHost: h\n\n")
+			_, _, err := answer(r)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("too short", "/broken"), Entry("no answer", "/nothing"),
+	)
+
+	DescribeTable("passes bodies on",
+		func(request, want string) {
+			c, r := dial()
+			send(c, request)
+			_, body, err := answer(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(want))
+		},
+		Entry("with a length", "POST /body HTTP/1.1\nHost: h\nContent-Length: 3\n\nabc", "abc"),
+		Entry("in chunks", "POST /body HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\n1\na\n2\nbc\n0\n\n", "abc"),
+		Entry("larger than is read ahead", "POST /body HTTP/1.1\nHost: h\nContent-Length: 300000\n\n"+strings.Repeat("x", 300000), "300000"),
+		Entry("without a length in the answer", "GET /stream HTTP/1.1\nHost: h\n\n", "abcd"),
+	)
+
+	DescribeTable("refuses requests that cannot be read, and closes",
+		// Guards against requests that are smuggled inside others, and against
+		// callers that use up memory.
+		func(request string, status int) {
+			c, r := dial()
+			send(c, request)
+			resp, _, err := answer(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(status))
+			_, _, err = answer(r)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("no request", "nonsense\n\n", 400),
+		Entry("length and chunks", "POST / HTTP/1.1\nHost: h\nContent-Length: 3\nContent-Length: 4\n\nabc", 400),
+		Entry("large header", "GET / HTTP/1.1\nHost: h\nX: "+strings.Repeat("x", 20<<10)+"\n\n", 431),
+		Entry("large body", "POST / HTTP/1.1\nHost: h\nContent-Length: 2000000\n\n", 413),
+	)
+
+	It("closes connections with the next answer while it drains", func() {
+		c, r := dial()
+		server.Drain()
+		send(c, "GET /a HTTP/1.1\nHost: h\n\n")
+		resp, body, err := answer(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Close).To(BeTrue())
+		Expect(body).To(Equal("/a"))
+		Expect(resp.Header.Get("Connection")).NotTo(Equal("X"))
+	})
+
+	It("closes connections that stay idle", func() {
+		server.Limits = func() ingress.Limits { l := ingress.DefaultLimits; l.IdleTimeout = 50 * time.Millisecond; return l }
+		c, r := dial()
+		send(c, "GET /a HTTP/1.1\nHost: h\n\n")
+		_, _, err := answer(r)
+		Expect(err).NotTo(HaveOccurred())
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = r.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+})
