--- a/cmd/boragegate-edge/main.go
+++ b/cmd/boragegate-edge/main.go
@@ -72,7 +72,7 @@
 	defer out.Close()
 	log := logging.New(logging.Options{Out: out})
 	defer log.Close()
-	i, err := edge.New(p, s, log.Logger, func(f func()) { out.OnLost = f })
+	i, err := edge.New(p, s, log, func(f func()) { out.OnLost = f })
 	if err != nil {
 		return err
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,13 +15,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 
 	"github.com/boragegate/boragegate/dispatch"
 	"github.com/boragegate/boragegate/internal/deployment"
 	"github.com/boragegate/boragegate/internal/ingress"
+	"github.com/boragegate/boragegate/internal/logging"
 	"github.com/boragegate/boragegate/internal/metrics"
 	"github.com/boragegate/boragegate/internal/upstream"
 	"github.com/boragegate/boragegate/ownership/rangelease"
@@ -55,7 +55,7 @@
 	t        tomb.Tomb
 	platform deployment.Platform
 	settings *deployment.Settings
-	log      zerolog.Logger
+	log      *logging.Log
 	metrics  *meters
 	shared   *shared
 	control  *control
@@ -70,7 +70,7 @@
 }
 
 // New returns an instance that has not started.
-func New(p deployment.Platform, s *deployment.Settings, log zerolog.Logger, logLost func(func())) (*Instance, error) {
+func New(p deployment.Platform, s *deployment.Settings, log *logging.Log, logLost func(func())) (*Instance, error) {
 	objects, err := p.Open()
 	if err != nil {
 		return nil, err
@@ -92,7 +92,7 @@
 		},
 	}
 	i.control = &control{
-		platform: p, store: objects, shared: i.shared, client: i.client, log: log, metrics: i.metrics,
+		platform: p, store: objects, shared: i.shared, client: i.client, log: log.Logger, metrics: i.metrics,
 		self: rangelease.Leader{ID: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.PeerAddress},
 		zone: s.Zone, slack: float64(s.Retries.Slack), maxHold: s.MaxHold, events: make(chan func(), 256),
 		targets: newTargetList(), owners: map[string][]dispatch.Owner{}, follows: map[string]context.CancelFunc{},
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -14,6 +14,7 @@
 	"github.com/boragegate/boragegate/dispatch"
 	"github.com/boragegate/boragegate/internal/deployment"
 	"github.com/boragegate/boragegate/internal/ingress"
+	"github.com/boragegate/boragegate/internal/logging"
 	"github.com/boragegate/boragegate/internal/upstream"
 	"github.com/boragegate/boragegate/routing"
 )
@@ -58,7 +59,7 @@
 	client   *upstream.Client
 	platform deployment.Platform
 	headers  deployment.Headers
-	log      zerolog.Logger
+	log      *logging.Log
 	metrics  *meters
 	// turn numbers requests, to divide them over the parts of a route.
 	turn atomic.Uint64
@@ -147,7 +148,7 @@
 
 // decided begins the log line of a decision on a request.
 func (f *forwarder) decided(c *call, r *ingress.Request, status int, reason string) *zerolog.Event {
-	e := f.log.Info().Str("event", "request."+reason).Str("request", r.Header.Get(f.headers.RequestID)).
+	e := f.log.Begin(zerolog.InfoLevel, "request."+reason).Str("request", r.Header.Get(f.headers.RequestID)).
 		Int("status", status).Dur("took_ms", time.Since(r.Arrived))
 	if c != nil {
 		e = e.Str("route", c.route.Name).Str("service", c.service).Int("key", c.key).Int("sent", c.sent).
@@ -461,7 +462,7 @@
 
 // log begins the log line of an attempt that brought no answer.
 func (c *call) log(a *attempt) *zerolog.Event {
-	return c.f.log.Info().Str("event", "attempt."+a.result.String()).Str("request", c.in.Header.Get(c.f.headers.RequestID)).
+	return c.f.log.Begin(zerolog.InfoLevel, "attempt."+a.result.String()).Str("request", c.in.Header.Get(c.f.headers.RequestID)).
 		Str("target", a.target.ID).Str("address", a.target.Address).Int("key", c.key).Int("sent", c.sent).Bool("not_sent", a.notSent).
 		Dur("took_ms", time.Since(c.in.Arrived)).Float64("target_load", c.decision.Load).
 		Dur("expected_ms", c.decision.Expected).Dur("report_age_ms", c.decision.ReportAge)
@@ -506,7 +507,7 @@
 		c.drop(c.failure)
 	}
 	r := a.response
-	c.f.log.Info().Str("event", "request.answered").Str("request", c.in.Header.Get(c.f.headers.RequestID)).
+	c.f.log.Begin(zerolog.InfoLevel, "request.answered").Str("request", c.in.Header.Get(c.f.headers.RequestID)).
 		Int("status", r.Status).Str("route", c.route.Name).Str("target", a.target.ID).Int("key", c.key).Int("sent", c.sent).
 		Dur("took_ms", time.Since(c.in.Arrived)).Uint64("config_version", c.configVersion).Send()
 	c.f.metrics.answered(c.route.Kind.String(), "answered", time.Since(c.in.Arrived))
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -35,7 +35,12 @@
 		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
 		gone, release = make(chan string, 10), make(chan struct{})
 		server = &ingress.Server{
-			Limits:      func() ingress.Limits { l := ingress.DefaultLimits; l.HeaderBytes = 4 << 10; l.BodyBytes = 1 << 20; return l },
+			Limits: func() ingress.Limits {
+				l := ingress.DefaultLimits
+				l.HeaderBytes = 4 << 10
+				l.BodyBytes = 1 << 20
+				return l
+			},
 			StartsAlone: func(r *http.Request) bool { return r.Method == http.MethodPost },
 		}
 		server.Handler = func(ctx context.Context, r *ingress.Request) *ingress.Response {
--- a/internal/logging/limiter.go
+++ b/internal/logging/limiter.go
@@ -74,6 +74,22 @@
 	return len(p), nil
 }
 
+// allows reports whether a line of the event would be written now, and counts it as left out if not.
+func (l *limiter) allows(event string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	w := l.windows[event]
+	if w == nil || now.Sub(w.start) >= second || w.written < l.perSecond {
+		return true
+	}
+	w.left++
+	if l.leftOut != nil {
+		l.leftOut(event)
+	}
+	return false
+}
+
 // window returns the window of a name; the mutex is held.
 func (l *limiter) window(event string, now time.Time) *window {
 	w := l.windows[event]
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -80,6 +80,16 @@
 	return &Log{Logger: logger, Recent: recent, limiter: l}
 }
 
+// Begin starts a line for an event, or returns nil if the event's lines of this
+// second are used up; a nil *zerolog.Event takes fields and does nothing. So
+// lines that are left out cost little on paths with many requests.
+func (l *Log) Begin(level zerolog.Level, event string) *zerolog.Event {
+	if l.GetLevel() > level || !l.limiter.allows(event) {
+		return nil
+	}
+	return l.WithLevel(level).Str(fieldEvent, event)
+}
+
 // Close writes the counts of what was left out.
 func (l *Log) Close() { l.limiter.flush() }
 
