Put a hot key on the fastest target and move all else away from its holder

The new log line on load showed a holder at 0.89 beside a mean of 0.31 and no moves: one key alone had a third of the requests, and every window near the wanted load contained it. Change: a key with half of its holder's capacity goes to the fastest target; where no window is near the wanted load, the heaviest below it moves; service times average over requests instead of reports; load is compared each 150 ms. The test of the pattern fails without the change.

--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -17,11 +17,15 @@
 
 const (
 	// planInterval is the pace at which load is compared.
-	planInterval = 250 * time.Millisecond
+	planInterval = 150 * time.Millisecond
+	// loadLogInterval is the pace of log lines on load while nothing moves.
+	loadLogInterval = time.Second
 	// releaseTimeout is the time for which a target may finish its work on released keys.
 	releaseTimeout = 2500 * time.Millisecond
-	// capacityWeight is the weight of one report in the average service time of a target.
-	capacityWeight = 0.3
+	// capacityWeight is the weight of one request in the average service time of a target.
+	capacityWeight = 0.03
+	// longestCapacityWeight bounds the weight of one report.
+	longestCapacityWeight = 0.3
 	// coldCapacity is the part of its capacity that a target has while it warms up.
 	coldCapacity = 0.5
 )
@@ -40,6 +44,7 @@
 	coldUntil   map[routing.Lifetime]time.Duration
 	plannedAt   time.Duration
 	planNow     bool
+	loggedAt    time.Duration
 
 	followers map[*follower]struct{}
 	beatAt    time.Duration
@@ -138,7 +143,15 @@
 		rates := l.ratesOf(service)
 		rates.Advance(elapsed)
 		usable := l.granter.Usable(now, service)
-		l.granter.Move(service, keyrange.Plan(l.granter.Ranges(now, service), l.capacities(now, usable), rates))
+		ranges := l.granter.Ranges(now, service)
+		result := keyrange.Plan(ranges, l.capacities(now, usable), rates)
+		l.granter.Move(service, result.Moves)
+		if len(result.Moves) > 0 || now-l.loggedAt >= loadLogInterval {
+			l.loggedAt = now
+			l.c.log.Info().Str("event", "load.compared").Str("service", service).Float64("requests_per_s", result.Load).
+				Float64("mean_utilisation", result.Mean).Str("busiest", result.Busiest.ID).Float64("highest_utilisation", result.Highest).
+				Dur("service_time_ms", l.serviceTime[result.Busiest]).Int("targets", len(usable)).Int("ranges", len(ranges)).Int("moves", len(result.Moves)).Send()
+		}
 	}
 }
 
@@ -189,12 +202,13 @@
 		}
 	}
 	for _, s := range m.Samples {
+		weight := min(capacityWeight*float64(s.Served), longestCapacityWeight)
 		took := s.Busy / time.Duration(max(s.Served, 1))
 		old := l.serviceTime[s.Lifetime]
 		if old == 0 {
 			old = took
 		}
-		l.serviceTime[s.Lifetime] = old + time.Duration(capacityWeight*float64(took-old))
+		l.serviceTime[s.Lifetime] = old + time.Duration(weight*float64(took-old))
 	}
 }
 
--- a/ownership/rangelease/world_test.go
+++ b/ownership/rangelease/world_test.go
@@ -139,7 +139,7 @@
 		for _, t := range g.Usable(w.now, service) {
 			usable = append(usable, keyrange.Target{Lifetime: t.Lifetime(), Capacity: 1})
 		}
-		g.Move(service, align(keyrange.Plan(g.Ranges(w.now, service), usable, idle)))
+		g.Move(service, align(keyrange.Plan(g.Ranges(w.now, service), usable, idle).Moves))
 	}
 	for _, a := range g.Tick(w.now) {
 		w.act(in, g, a)
--- a/placement/keyrange/keyrange_test.go
+++ b/placement/keyrange/keyrange_test.go
@@ -80,7 +80,7 @@
 var _ = Describe("Plan", func() {
 	It("divides an idle service in proportion to capacity", func() {
 		// Guards against a slow target that gets as much as a fast one.
-		got := apply(whole, keyrange.Plan(whole, targets(1, 1, 2), keyrange.NewRates()))
+		got := apply(whole, keyrange.Plan(whole, targets(1, 1, 2), keyrange.NewRates()).Moves)
 		Expect(got).To(HaveLen(3))
 		for _, r := range got {
 			want := 0.25
@@ -94,7 +94,7 @@
 	It("moves nothing in a steady state", func() {
 		// Guards against moves because of noise: 500 requests/s on 14 targets.
 		t := targets(70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70)
-		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()))
+		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()).Moves)
 		rates, random := keyrange.NewRates(), rand.New(rand.NewPCG(1, 2))
 		moved := 0
 		for step := range 100 {
@@ -103,7 +103,7 @@
 				rates.Add(random.IntN(routing.Keys), 1)
 			}
 			if step > 20 {
-				for _, m := range keyrange.Plan(ranges, t, rates) {
+				for _, m := range keyrange.Plan(ranges, t, rates).Moves {
 					moved += m.Len()
 				}
 			}
@@ -115,7 +115,7 @@
 		// Guards against the pattern of both users: a third of the requests goes to
 		// 200 neighbouring keys from one moment on.
 		t := targets(70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70)
-		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()))
+		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()).Moves)
 		rates, random := keyrange.NewRates(), rand.New(rand.NewPCG(1, 2))
 		load := map[int]float64{}
 		moved := 0
@@ -132,7 +132,7 @@
 					load[key]++
 				}
 			}
-			moves := keyrange.Plan(ranges, t, rates)
+			moves := keyrange.Plan(ranges, t, rates).Moves
 			if hot {
 				for _, m := range moves {
 					moved += m.Len()
@@ -146,10 +146,39 @@
 		Expect(float64(moved) / routing.Keys).To(BeNumerically("<", 0.15))
 	})
 
+	It("puts one hot key on the fastest target, and all else elsewhere", func() {
+		// Guards against the pattern of both users' mornings: one key gets a third of
+		// the requests, more than its holder can serve.
+		t := targets(50, 70, 110, 50, 70, 50, 70)
+		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()).Moves)
+		rates, random := keyrange.NewRates(), rand.New(rand.NewPCG(1, 2))
+		for step := range 60 {
+			rates.Advance(150 * time.Millisecond)
+			for i := range 36 {
+				key := random.IntN(routing.Keys)
+				if step >= 40 && i%3 == 0 {
+					key = 500
+				}
+				rates.Add(key, 1)
+			}
+			ranges = apply(ranges, keyrange.Plan(ranges, t, rates).Moves)
+		}
+		rest := 0
+		for _, r := range ranges {
+			if r.Has(500) {
+				Expect(r.Holder).To(Equal(id(2)))
+			}
+			if r.Holder == id(2) {
+				rest += r.Len()
+			}
+		}
+		Expect(float64(rest) / routing.Keys).To(BeNumerically("<", 0.1))
+	})
+
 	It("gives the keys of a lost target to several others", func() {
 		t := targets(1, 1, 1, 1, 1, 1)
-		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()))
-		after := apply(ranges, keyrange.Plan(ranges, t[1:], keyrange.NewRates()))
+		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()).Moves)
+		after := apply(ranges, keyrange.Plan(ranges, t[1:], keyrange.NewRates()).Moves)
 		got := map[routing.Lifetime]int{}
 		for _, r := range after {
 			got[r.Holder] += r.Len()
@@ -163,10 +192,10 @@
 	It("gives a new target its part", func() {
 		// Guards against a rack that arrives and stays idle.
 		t := targets(1, 1, 1, 1)
-		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()))
+		ranges := apply(whole, keyrange.Plan(whole, t, keyrange.NewRates()).Moves)
 		t = targets(1, 1, 1, 1, 1)
 		for range 3 {
-			ranges = apply(ranges, keyrange.Plan(ranges, t, keyrange.NewRates()))
+			ranges = apply(ranges, keyrange.Plan(ranges, t, keyrange.NewRates()).Moves)
 		}
 		n := 0
 		for _, r := range ranges {
@@ -193,7 +222,7 @@
 				rates.Add(rapid.IntRange(0, routing.Keys-1).Draw(t, "key"), rapid.IntRange(1, 200).Draw(t, "requests"))
 			}
 			usable := targets(1, 2, 3, 4)
-			moves := keyrange.Plan(ranges, usable, rates)
+			moves := keyrange.Plan(ranges, usable, rates).Moves
 			apply(ranges, moves)
 			for _, m := range moves {
 				in := false
--- a/placement/keyrange/plan.go
+++ b/placement/keyrange/plan.go
@@ -22,6 +22,13 @@
 	// interiorCost is the number of keys by which a cut inside a range has to be
 	// narrower than one at its edge, because it leaves one range more to renew.
 	interiorCost = 48
+	// hotKeyShare of its holder's capacity makes a single key a hot one. It cannot
+	// be divided, so it goes to a faster target, and all else leaves its holder.
+	hotKeyShare = 0.5
+	// fasterBy is the factor by which the other target must be faster.
+	fasterBy = 1.3
+	// worthMoving is the part of the wanted load that a move has to bring at least.
+	worthMoving = 0.1
 	// tolerance is the deviation from the wanted load that a cut may have.
 	tolerance = 0.3
 )
@@ -53,16 +60,35 @@
 	Relief bool
 }
 
+// Result is what a plan found and decided.
+type Result struct {
+	Moves []Move
+	// Mean is the utilisation that all targets would have if the load were divided evenly.
+	Mean float64
+	// Busiest is the target with the highest utilisation before the moves, Highest its utilisation.
+	Busiest routing.Lifetime
+	Highest float64
+	// Load is the requests per second of all keys.
+	Load float64
+}
+
 // Plan returns the moves that give every span a usable holder and relieve
 // targets that carry too much. Targets are those that may hold keys.
-func Plan(ranges []Range, targets []Target, rates *Rates) []Move {
+func Plan(ranges []Range, targets []Target, rates *Rates) Result {
 	if len(targets) == 0 {
-		return nil
+		return Result{}
 	}
 	p := newPlanner(ranges, targets, rates)
+	r := Result{Mean: p.mean(), Load: p.total}
+	for i, t := range targets {
+		if u := p.utilisation(i); u >= r.Highest {
+			r.Busiest, r.Highest = t.Lifetime, u
+		}
+	}
 	p.placeOrphans()
 	p.relieve()
-	return p.moves
+	r.Moves = p.moves
+	return r
 }
 
 type part struct {
@@ -204,6 +230,10 @@
 		if high == low || !idle && !strained {
 			return
 		}
+		if strained && p.relocateHotKey(high, taken) {
+			spent[high] = true
+			continue
+		}
 		excess := p.load[high] - mean*p.targets[high].Capacity
 		room := mean*p.targets[low].Capacity - p.load[low]
 		if !p.cut(high, low, min(excess, room), taken) {
@@ -212,6 +242,38 @@
 	}
 }
 
+// relocateHotKey moves a key that alone takes much of a target's capacity to the
+// fastest target, if that one is much faster.
+func (p *planner) relocateHotKey(high int, taken map[int]bool) bool {
+	fastest := high
+	for i, t := range p.targets {
+		if t.Capacity > p.targets[fastest].Capacity {
+			fastest = i
+		}
+	}
+	capacity := p.targets[high].Capacity
+	if p.targets[fastest].Capacity < fasterBy*capacity {
+		return false
+	}
+	for i, r := range p.parts {
+		if r.Fixed || taken[i] || r.Holder != p.targets[high].Lifetime || r.load < hotKeyShare*capacity {
+			continue
+		}
+		for j, w := range r.weights {
+			if w < hotKeyShare*capacity {
+				continue
+			}
+			taken[i] = true
+			key := routing.Span{From: r.From + j, To: r.From + j}
+			p.split(i, key)
+			p.load[high] -= w
+			p.give(key, w, fastest, true)
+			return true
+		}
+	}
+	return false
+}
+
 // cut moves the narrowest part of about the wanted load from one target to another.
 func (p *planner) cut(high, low int, want float64, taken map[int]bool) bool {
 	best, bestCost := -1, 0
@@ -233,6 +295,17 @@
 			best, bestCost, window, load = i, cost, w, l
 		}
 	}
+	for i, r := range p.parts {
+		if bestCost > 0 { // a window near the wanted load was found
+			break
+		}
+		if r.Fixed || taken[i] || r.Holder != p.targets[high].Lifetime {
+			continue
+		}
+		if w, l := heaviest(r, want); l > load && l > worthMoving*want {
+			best, window, load = i, w, l
+		}
+	}
 	if best < 0 {
 		return false
 	}
@@ -290,3 +363,20 @@
 	}
 	return found, foundLoad, ok
 }
+
+// heaviest returns the window with the highest load that does not exceed the limit.
+func heaviest(r part, limit float64) (routing.Span, float64) {
+	var found routing.Span
+	foundLoad, load, start := 0.0, 0.0, 0
+	for end, w := range r.weights {
+		load += w
+		for load > limit && start <= end {
+			load -= r.weights[start]
+			start++
+		}
+		if start <= end && load > foundLoad {
+			found, foundLoad = routing.Span{From: r.From + start, To: r.From + end}, load
+		}
+	}
+	return found, foundLoad
+}
--- a/placement/keyrange/rates.go
+++ b/placement/keyrange/rates.go
@@ -18,10 +18,10 @@
 	// slowWindow averages the steady load. At 500 requests/s over 14 targets it
 	// leaves a standard error of about 10% a target.
 	slowWindow = 3 * time.Second
-	// fastWindow shows a load that appeared within a second. It is believed only
-	// as far as it exceeds its own noise.
-	fastWindow = 700 * time.Millisecond
-	// noiseSigmas is the number of standard errors that are taken off a fast rate.
+	// fastWindow shows a load that appeared within half a second. It counts where
+	// it exceeds the slow rate by more than its own noise.
+	fastWindow = 500 * time.Millisecond
+	// noiseSigmas is the number of standard errors that are taken for noise.
 	noiseSigmas = 2.0
 	// unseenShare is the share of the measured load that is spread evenly over all
 	// keys, so that keys without a request still count and an idle service is
@@ -66,10 +66,10 @@
 		fast += float64(r.fast[k])
 	}
 	slowRate := slow / slowWindow.Seconds()
-	fastRate := (fast - noiseSigmas*math.Sqrt(fast)) / fastWindow.Seconds()
+	surely := (fast - noiseSigmas*math.Sqrt(fast)) / fastWindow.Seconds()
 	from, scale := r.slow, 1/slowWindow.Seconds()
-	if fastRate > slowRate {
-		from, scale = r.fast, fastRate/fast
+	if surely > slowRate {
+		from, scale = r.fast, 1/fastWindow.Seconds()
 	}
 	w := make([]float64, s.Len())
 	sum := 0.0
