--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -207,9 +207,9 @@
 		return hold(r, "holder_leaving", noHolderWait)
 	}
 	if now < t.ejected && !r.Repeat {
-		return reject("holder_unreachable", t.ejected-now, b.expect(now, t, r))
+		return reject("holder_unreachable", t.ejected-now, b.expect(now, t))
 	}
-	return b.judge(now, t, r, b.expect(now, t, r))
+	return b.judge(now, t, r, b.expect(now, t))
 }
 
 // hold lets a request wait for its holder if that is expected soon enough to
@@ -252,7 +252,7 @@
 			if pass == 0 && now < t.ejected {
 				continue // tried only if all others are left out, too
 			}
-			d := b.expect(now, t, r)
+			d := b.expect(now, t)
 			score := float64(d.Expected+b.penalty(t, r)) * (1 + failurePenalty*t.failureRate)
 			if now < t.fullUntil {
 				score += float64(t.fullUntil - now)
@@ -311,7 +311,7 @@
 }
 
 // expect estimates the load of a target and when it would finish a request.
-func (b *Board) expect(now time.Duration, t *target, r *Request) Decision {
+func (b *Board) expect(now time.Duration, t *target) Decision {
 	d := Decision{Target: t.Target, Load: float64(t.inFlight), ReportAge: -1}
 	if t.hasReport {
 		d.ReportAge = now - t.reportedAt
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -33,8 +33,6 @@
 	MaxFiles int
 	// GracePeriod is the time between SIGTERM and SIGKILL.
 	GracePeriod time.Duration
-	// DrainTime is the time after which a leaving target must receive no new request.
-	DrainTime time.Duration
 	// MaxHold is the longest hold time of a grant.
 	MaxHold time.Duration
 	// Retries bounds repeated requests of all instances together.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -258,7 +258,7 @@
 		if object.Version == 0 {
 			write = c.store.Create
 		}
-		got, err := write(c.t.Context(nil), object)
+		got, err := write(c.t.Context(context.Background()), object)
 		c.post(func() { c.tookOver(sent, next, got, err) })
 		return nil
 	})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,7 +12,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -44,10 +47,12 @@
 	drainPoll = 20 * time.Millisecond
 	// httpTimeout bounds questions about readiness and metrics.
 	httpTimeout = 2 * time.Second
-	// descriptorReserve is the number of descriptors that callers' connections leave free.
-	descriptorReserve = 400
-	// reloadInterval is the pace at which the settings file is read again.
-	reloadInterval = time.Second
+	// descriptorReserve is the number of descriptors that callers' connections leave
+	// free, for targets, other instances, the store and files.
+	descriptorReserve = 800
+	// reloadInterval is the pace at which the settings are read again: they may
+	// change without a signal.
+	reloadInterval = 2 * time.Second
 )
 
 // Instance is one entry instance.
@@ -65,6 +70,8 @@
 	caller   net.Listener
 	peers    net.Listener
 	stopping chan struct{}
+	// gracePeriod is the time between SIGTERM and SIGKILL, as a time.Duration.
+	gracePeriod atomic.Int64
 	// refusing says that no more requests are taken.
 	refusing atomic.Bool
 }
@@ -76,6 +83,7 @@
 		return nil, err
 	}
 	i := &Instance{platform: p, settings: s, log: log, metrics: newMeters(), stopping: make(chan struct{})}
+	i.gracePeriod.Store(int64(s.GracePeriod))
 	logLost(func() { i.metrics.logLost.Inc(1) })
 	i.shared = newShared(s.Zone, dispatch.RepeatBudget{
 		Ratio: s.Retries.Ratio, Slack: float64(s.Retries.Slack) / assumedInstances, Window: s.Retries.Window,
@@ -91,6 +99,9 @@
 			log.Info().Str("event", "caller.connection_ended").Str("reason", reason).Int("unanswered", unanswered).Send()
 		},
 	}
+	if s.MaxFiles > descriptorReserve {
+		i.ingress.MaxConnections = s.MaxFiles - descriptorReserve
+	}
 	i.control = &control{
 		platform: p, store: objects, shared: i.shared, client: i.client, log: log.Logger, metrics: i.metrics,
 		self: rangelease.Leader{ID: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.PeerAddress},
@@ -169,6 +180,7 @@
 		return i.control.run()
 	})
 	i.t.Go(func() error { return i.ingress.Serve(i.caller) })
+	i.t.Go(i.reload)
 	i.log.Info().Str("event", "instance.started").Str("instance", i.settings.Instance).Str("zone", i.settings.Zone).
 		Str("caller_address", i.settings.CallerAddress).Str("peer_address", i.settings.PeerAddress).
 		Int64("incarnation", i.control.self.Incarnation).Send()
@@ -211,10 +223,44 @@
 	return metrics.Write(w, i.metrics.registry)
 }
 
+// reload applies changed settings until the instance stops. Addresses and limits
+// of the process take effect at the next start only.
+func (i *Instance) reload() error {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	current := *i.settings
+	for {
+		signalled := false
+		select {
+		case <-i.t.Dying():
+			return nil
+		case <-hangUp:
+			signalled = true
+		case <-ticker.C:
+		}
+		s, err := i.platform.Settings()
+		switch {
+		case err != nil:
+			i.log.Warn().Str("event", "settings.unreadable").Bool("signalled", signalled).Err(err).Send()
+		case *s != current:
+			current = *s
+			i.gracePeriod.Store(int64(s.GracePeriod))
+			slack := float64(s.Retries.Slack)
+			i.control.post(func() { i.control.slack = slack })
+			i.log.Info().Str("event", "settings.changed").Bool("signalled", signalled).Dur("grace_period_ms", s.GracePeriod).Float64("retry_slack", slack).Send()
+		case signalled:
+			i.log.Info().Str("event", "settings.unchanged").Send()
+		}
+	}
+}
+
 // Stop takes the instance out of service: it is no longer ready, hands the lead
 // over, answers what was read, and closes.
 func (i *Instance) Stop(ctx context.Context) error {
-	began := time.Now()
+	began, grace := time.Now(), time.Duration(i.gracePeriod.Load())
 	i.log.Info().Str("event", "instance.stopping").Int("requests", i.ingress.InFlight()).Int("connections", i.ingress.Connections()).Send()
 	close(i.stopping)
 	i.control.post(func() {
@@ -224,9 +270,9 @@
 		}
 	})
 	i.ingress.Drain()
-	refuse := time.AfterFunc(time.Duration(refuseShare*float64(i.settings.GracePeriod)), func() { i.refusing.Store(true) })
+	refuse := time.AfterFunc(time.Duration(refuseShare*float64(grace)), func() { i.refusing.Store(true) })
 	defer refuse.Stop()
-	end := began.Add(i.settings.GracePeriod - stopMargin)
+	end := began.Add(grace - stopMargin)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if (time.Since(began) > notReadyTime || i.refusing.Load()) && i.ingress.InFlight() == 0 {
 			break
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -28,7 +28,7 @@
 	if c.follows[kind] != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(c.t.Context(nil)) //nolint:gosec // kept in follows
+	ctx, cancel := context.WithCancel(c.t.Context(context.Background())) //nolint:gosec // kept in follows
 	c.follows[kind] = cancel
 	from := map[string]store.Version{
 		ownershipKind: c.recordVersion, c.configKind(): c.configVersion, c.platform.TargetKind(): c.targets.version,
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -363,7 +363,6 @@
 				return response
 			}
 		case <-hedge:
-			hedge = nil
 			return nil
 		case <-ctx.Done():
 			return c.gaveUp(ctx)
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -51,7 +51,7 @@
 }
 
 func newLeadership(c *control, now time.Duration, r *rangelease.Record, version store.Version) *leadership {
-	ctx, cancel := context.WithCancel(c.t.Context(nil))
+	ctx, cancel := context.WithCancel(c.t.Context(context.Background()))
 	l := &leadership{
 		c: c, ctx: ctx, cancel: cancel, version: version,
 		granter: rangelease.New(grantOptions(c), now, r),
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -48,7 +48,7 @@
 	if c.record == nil || c.record.Leader.ID == c.self.ID || c.stopping && c.lead != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(c.t.Context(nil))
+	ctx, cancel := context.WithCancel(c.t.Context(context.Background()))
 	l := &link{leader: c.record.Leader, cancel: cancel, out: make(chan []byte, 4)}
 	c.link = l
 	c.t.Go(func() error { c.keepLink(ctx, l); return nil })
@@ -169,7 +169,7 @@
 func (c *control) succeed() {
 	c.t.Go(func() error {
 		sent := socket.BootTime()
-		got, err := c.store.Get(c.t.Context(nil), ownershipKind, ownershipName)
+		got, err := c.store.Get(c.t.Context(context.Background()), ownershipKind, ownershipName)
 		c.post(func() {
 			if err != nil {
 				c.storeLost(socket.BootTime(), err)
@@ -270,7 +270,7 @@
 	if _, err := readFrame(r, map[byte]any{kindHello: &h}); err != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(c.t.Context(nil))
+	ctx, cancel := context.WithCancel(c.t.Context(context.Background()))
 	defer cancel()
 	f := &follower{name: h.Instance, conn: conn, out: make(chan []byte, linkQueue), done: cancel}
 	c.post(func() { c.followerCame(f) })
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,8 +17,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"gopkg.in/tomb.v2"
 )
 
 // Limits bound what a caller may send.
@@ -74,10 +72,12 @@
 	Limits func() Limits
 	// StartsAlone says that a request starts only when those before it are answered.
 	StartsAlone func(r *http.Request) bool
+	// MaxConnections bounds the open connections; 0 means no limit. Further ones are
+	// closed at once, so that descriptors are left for targets and the store.
+	MaxConnections int
 	// OnAbort is told of connections that end with requests unanswered; it may be nil.
 	OnAbort func(reason string, unanswered int)
 
-	t        tomb.Tomb
 	draining atomic.Bool
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -104,6 +104,10 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		if s.MaxConnections > 0 && s.Connections() >= s.MaxConnections {
+			_ = c.Close()
+			continue
+		}
 		s.add(c)
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -105,13 +105,15 @@
 			if !written {
 				_ = cn.nc.SetWriteDeadline(time.Unix(1, 0))
 			}
-			<-sent
+			if err := <-sent; err != nil {
+				_ = cn.nc.Close() // the server must not wait for the rest of the body
+			}
 		}()
 	}
 	if err != nil {
 		return nil, false, err
 	}
-	resp, err := cn.answer(r)
+	resp, err := cn.answer(r) //nolint:bodyclose // read to its end or closed with the connection
 	if err != nil {
 		written = false
 		return nil, false, fmt.Errorf("read answer: %w", err)
--- a/store/store.go
+++ b/store/store.go
@@ -1,4 +1,4 @@
-// Package platform defines the object store of the platform as boragegate uses
+// Package store defines the object store of the platform as boragegate uses
 // it. The store is the only place where anything is agreed or kept. Plug-ins
 // implement Store and register themselves with the kernel under "store.<name>".
 package store
--- a/store/storetest/conformance.go
+++ b/store/storetest/conformance.go
@@ -1,4 +1,4 @@
-// Package platformtest is the conformance suite that every store.Store passes.
+// Package storetest is the conformance suite that every store.Store passes.
 package storetest
 
 import (
