Name the target in orders, and give each grant a token of its own

The world of the property test let calls reach only the lifetime that they were meant for; with calls that reach the next lifetime of an ID for 0.7 s it found two servers with one token. Ruled out: late orders and the expiry of leases; the tokens were those of renewals. Change: orders carry the target's name, and an answer of another target proves the end; every grant has a new token; keys of a lifetime that ended are released by its successor before others get them.

--- a/ownership/rangelease/action.go
+++ b/ownership/rangelease/action.go
@@ -47,6 +47,8 @@
 	Done Outcome = iota
 	// Fenced means that the target has seen a higher fencing token.
 	Fenced
+	// Ended means that another target answers at the address, so this one has ended.
+	Ended
 	// Refused means that the target answered and did not carry out the call.
 	Refused
 	// Unanswered means that the call may have been carried out or may still be.
@@ -55,7 +57,7 @@
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "fenced", "refused", "unanswered"}[o]
+	return [...]string{"done", "fenced", "ended", "refused", "unanswered"}[o]
 }
 
 // Owner is one span as callers should be routed.
--- a/ownership/rangelease/granter.go
+++ b/ownership/rangelease/granter.go
@@ -221,6 +221,24 @@
 	return false
 }
 
+// mayHold returns who may hold the keys of a holder that gives them up to another:
+// the holder itself, or, if it has ended, a later lifetime that renewals may have
+// reached. It returns the zero Lifetime if nobody can, or only the next holder.
+func (g *Granter) mayHold(holder, next routing.Lifetime) routing.Lifetime {
+	if holder == (routing.Lifetime{}) {
+		return holder
+	}
+	if !g.ended(holder) {
+		return holder
+	}
+	for id, p := range g.peers {
+		if p.listed && id.ID == holder.ID && id.Incarnation > holder.Incarnation && id != next {
+			return id
+		}
+	}
+	return routing.Lifetime{}
+}
+
 // lost reports whether a target does not answer.
 func (g *Granter) lost(now lease.Instant, p *peer) bool {
 	return p.unanswered >= doubtAfter && now-p.answered >= g.o.Lost
@@ -309,9 +327,8 @@
 			}
 			if s.next != (routing.Lifetime{}) {
 				e.Holder = s.next
-				if s.holder != (routing.Lifetime{}) && !g.ended(s.holder) {
-					holder := s.holder
-					e.Previous = &holder
+				if previous := g.mayHold(s.holder, s.next); previous != (routing.Lifetime{}) {
+					e.Previous = &previous
 				}
 			}
 			r.Services[name] = append(r.Services[name], e)
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -33,6 +33,7 @@
 		// that are carried out late, servers that crash, drain and start again.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			w := newWorld(t, 4)
+			w.listLag = 700 * time.Millisecond
 			w.takeOver(w.instances[0])
 			w.run(500 * time.Millisecond)
 			for range rapid.IntRange(1, 12).Draw(t, "faults") {
@@ -98,6 +99,19 @@
 		})
 	})
 
+	It("releases what a server that started again was granted under its old lifetime", func() {
+		// Guards against two holders: renewals reach the new lifetime until the list
+		// names it, as they did on koszoru-kapu inc-2235 with another target's address.
+		scenario(func(w *world) {
+			old := w.servers[routing.Lifetime{ID: "t1", Incarnation: 1}]
+			old.up = false
+			w.listLag = 1500 * time.Millisecond
+			w.addServer("t1", 2)
+			w.run(5 * time.Second)
+			Expect(w.served()).To(Equal(8))
+		})
+	})
+
 	It("empties a server that drains within 200 ms", func() {
 		scenario(func(w *world) {
 			v := w.servers[routing.Lifetime{ID: "t2", Incarnation: 1}]
@@ -169,7 +183,6 @@
 		v.up = false
 	case kind == 7:
 		v.up = false
-		w.listed[v.Lifetime()] = false
 		w.addServer(v.ID, v.Incarnation+1)
 	case kind == 8:
 		v.Draining = true
--- a/ownership/rangelease/span.go
+++ b/ownership/rangelease/span.go
@@ -20,8 +20,6 @@
 	// writing says that the record on its way to the store has next as holder.
 	writing bool
 
-	// fence is the token of grants to holder; 0 until the first is sent.
-	fence uint64
 	// handover goes with the grants until the first is answered.
 	handover string
 	// until is the end of every lease that holder may have.
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -37,7 +37,7 @@
 		g.sendRelease(now, s)
 		return
 	}
-	if p := g.peers[s.holder]; p != nil && !p.ended && (s.next == (routing.Lifetime{}) || s.fence != 0) {
+	if p := g.peers[s.holder]; p != nil && !p.ended && (s.next == (routing.Lifetime{}) || s.until != 0) {
 		// A grant to a target that may be dead would only delay its expiry.
 		if p.unanswered >= doubtAfter && !g.isolated(now) {
 			return
@@ -55,9 +55,6 @@
 }
 
 func (g *Granter) sendGrant(now lease.Instant, s *span, p *peer) {
-	if s.fence == 0 {
-		s.fence = g.fence()
-	}
 	hold := g.o.Terms.Length
 	if now-g.storeAt > outageAfter {
 		hold = g.o.OutageHold
@@ -67,8 +64,10 @@
 	// Until the call is answered it may arrive as late as it is given up.
 	s.until = max(s.until, now+g.o.CallTimeout+g.leaseLength(hold))
 	g.called(now, p)
+	// Each grant has a token of its own: a renewal may reach a later lifetime of the
+	// holder before the list names it, which is then another holder.
 	g.out = append(g.out, &Grant{
-		Call: s.call, Target: p.Target, Span: s.Span, Fence: s.fence, Hold: hold, Handover: s.handover,
+		Call: s.call, Target: p.Target, Span: s.Span, Fence: g.fence(), Hold: hold, Handover: s.handover,
 	})
 }
 
@@ -160,9 +159,13 @@
 		}
 		s.confirmed, s.handover = s.sent+s.hold, ""
 		s.due = s.sent + g.o.Renew
+	case Ended:
+		if p := g.peers[s.holder]; p != nil {
+			p.ended = true
+		}
+		s.due = now + g.o.Retry
 	case Fenced:
 		g.fenced = true
-		s.fence = 0
 		s.due = now + g.o.Retry
 	default:
 		s.due = now + g.o.Retry
@@ -221,12 +224,12 @@
 	if g.onMove != nil {
 		g.onMove(s.service, s.Span, s.holder, s.next, g.reason(now, s.holder))
 	}
-	if s.holder != (routing.Lifetime{}) && !g.ended(s.holder) {
-		s.previous, s.previousUntil = s.holder, s.until
+	if previous := g.mayHold(s.holder, s.next); previous != (routing.Lifetime{}) {
+		s.previous, s.previousUntil = previous, s.until
 		s.releaseFence = g.fence()
 	}
 	s.holder, s.next, s.writing = s.next, routing.Lifetime{}, false
-	s.fence, s.handover, s.call, s.due = 0, "", 0, now
+	s.handover, s.call, s.due = "", 0, now
 	s.until, s.confirmed, s.inherited = 0, 0, false
 }
 
@@ -262,7 +265,7 @@
 		a.To = b.To
 		a.until, a.confirmed = max(a.until, b.until), min(a.confirmed, b.confirmed)
 		a.inherited = a.inherited || b.inherited
-		a.fence, a.due = 0, min(a.due, b.due)
+		a.due = min(a.due, b.due)
 		spans = slices.Delete(spans, i+1, i+2)
 	}
 	g.spans[service] = spans
--- a/ownership/rangelease/world_test.go
+++ b/ownership/rangelease/world_test.go
@@ -82,6 +82,8 @@
 	servers   map[routing.Lifetime]*server
 	listed    map[routing.Lifetime]bool
 	events    []event
+	// listLag is the time until instances learn of a change of the list.
+	listLag time.Duration
 	// unanswered is the share of calls that get no answer and are carried out late.
 	unanswered int
 	highest    [8]uint64 // token of the last holder of each key
@@ -186,10 +188,21 @@
 	}
 }
 
+// reached is the server that a call to a lifetime reaches: a server that started
+// again under its ID has the same address.
+func (w *world) reached(to routing.Lifetime) *server {
+	for incarnation := to.Incarnation + 10; incarnation > to.Incarnation; incarnation-- {
+		if v := w.servers[routing.Lifetime{ID: to.ID, Incarnation: incarnation}]; v != nil {
+			return v
+		}
+	}
+	return w.servers[to]
+}
+
 func (w *world) call(in *instance, g *rangelease.Granter, to routing.Lifetime, call uint64, do func(*server, lease.Instant) rangelease.Outcome) {
 	lost := in.cutOff[to.ID]
 	late := w.unanswered > 0 && rapid.IntRange(0, 99).Draw(w.t, "late") < w.unanswered
-	v := w.servers[to]
+	v := w.reached(to)
 	w.after(2*time.Millisecond, func() {
 		if lost || v == nil || !v.up || late {
 			arrived := w.now
@@ -270,7 +283,18 @@
 	t := routing.Target{ID: id, Incarnation: incarnation, Service: service, Address: id, Slots: 1}
 	v := &server{Target: t, up: true, rate: 0.98}
 	w.servers[t.Lifetime()] = v
-	w.listed[t.Lifetime()] = true
+	if w.listLag == 0 {
+		w.listed[t.Lifetime()] = true
+		return v
+	}
+	w.after(w.listLag, func() {
+		for other := range w.listed {
+			if other.ID == id {
+				w.listed[other] = false
+			}
+		}
+		w.listed[t.Lifetime()] = true
+	})
 	return v
 }
 
