--- /dev/null
+++ b/internal/edge/call.go
@@ -0,0 +1,356 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/boragegate/boragegate/dispatch"
+	"github.com/boragegate/boragegate/internal/ingress"
+	"github.com/boragegate/boragegate/internal/upstream"
+	"github.com/boragegate/boragegate/routing"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	f             *forwarder
+	in            *ingress.Request
+	route         *routing.Route
+	service       string
+	key           int
+	deadline      time.Time
+	configVersion uint64
+
+	decision dispatch.Decision
+	results  chan attempt
+	// running is the number of attempts without a result.
+	running int
+	// sent is the number of attempts of which a target may have received something.
+	sent int
+	// ran says that a target may have run the request.
+	ran    bool
+	unsent int
+	tried  []string
+	// failure is a target's own failure that is passed on if nothing better comes.
+	failure *attempt
+}
+
+// attempt is one exchange with a target.
+type attempt struct {
+	target   routing.Target
+	result   dispatch.Result
+	response *upstream.Response
+	err      error
+	notSent  bool
+	cancel   context.CancelFunc
+}
+
+// run sends the request until there is an answer to pass on.
+func (c *call) run(ctx context.Context) *ingress.Response {
+	for {
+		again, response := c.next(ctx)
+		if response == nil && c.running > 0 {
+			response = c.wait(ctx, again)
+		}
+		switch response {
+		case nil:
+		case noAnswer:
+			return nil
+		default:
+			return response
+		}
+	}
+}
+
+// noAnswer stands for the end of a request whose caller has gone.
+var noAnswer = &ingress.Response{}
+
+// next decides and starts an attempt. It returns the time after which the
+// request may be sent once more, 0 if it may not.
+func (c *call) next(ctx context.Context) (time.Duration, *ingress.Response) {
+	left := time.Until(c.deadline)
+	if left <= 0 || ctx.Err() != nil {
+		return 0, c.gaveUp(ctx)
+	}
+	r := &dispatch.Request{
+		Service: c.service, Kind: c.route.Kind, Key: c.key, Left: left, Objective: c.route.Objective,
+		Waited: time.Since(c.in.Arrived), Tried: c.tried, Repeat: c.sent > 0,
+	}
+	d, changed := c.f.shared.choose(r)
+	c.decision = d
+	switch d.Verdict {
+	case dispatch.Send:
+		c.start(ctx, d.Target, left)
+		if !c.mayRepeat() {
+			return 0, nil
+		}
+		return max(time.Duration(hedgeFactor*float64(d.Expected)), shortestHedge), nil
+	case dispatch.Hold:
+		if c.running > 0 {
+			return 0, nil
+		}
+		timer := time.NewTimer(min(d.RetryAfter, left, holdStep))
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return 0, nil
+	default:
+		if c.running > 0 {
+			return 0, nil
+		}
+		if c.failure != nil {
+			return 0, c.pass(c.failure)
+		}
+		if c.ran {
+			return 0, c.broken(d.Reason)
+		}
+		return 0, c.f.refuse(c, c.in, d.Reason, d.RetryAfter)
+	}
+}
+
+// mayRepeat reports whether the request may be sent to one more target.
+func (c *call) mayRepeat() bool {
+	return c.route.Kind.Repeatable() && c.sent < c.route.MaxAttempts && c.in.Rest == nil
+}
+
+// start sends the request to a target on a goroutine of its own.
+func (c *call) start(ctx context.Context, t routing.Target, left time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.running++
+	if c.sent > 0 {
+		c.f.metrics.repeats.Inc(1)
+	}
+	c.sent++
+	if c.key < 0 {
+		c.tried = append(c.tried, t.ID)
+	}
+	request := c.outgoing(&t, left)
+	go func() {
+		a := attempt{target: t, cancel: cancel}
+		began := time.Now()
+		a.response, a.err = c.f.client.Do(ctx, &t, request)
+		a.notSent = errors.Is(a.err, upstream.ErrNotSent)
+		var report *dispatch.Report
+		a.result, report = c.f.classify(ctx, &a)
+		c.f.shared.finished(t.Lifetime(), a.result, time.Since(began), report)
+		c.f.metrics.attempted(t.Service, a.result.String())
+		c.results <- a
+	}()
+}
+
+// outgoing is the request as the target gets it.
+func (c *call) outgoing(t *routing.Target, left time.Duration) *upstream.Request {
+	h := c.in.Header.Clone()
+	h.Set(c.f.headers.Deadline, c.f.platform.FormatDeadline(left))
+	h.Set(c.f.headers.ExpectTarget, t.ID)
+	for _, name := range strings.Split(c.in.Header.Get("Connection"), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			h.Del(name)
+		}
+	}
+	return &upstream.Request{
+		Method: c.in.Method, URI: uri(c.in), Host: c.in.Host, Header: h, ID: c.in.Header.Get(c.f.headers.RequestID),
+		Body: c.in.Body, Rest: c.in.Rest, Length: c.in.Length,
+	}
+}
+
+// classify says how an attempt ended, with the target's report of its load.
+func (f *forwarder) classify(ctx context.Context, a *attempt) (dispatch.Result, *dispatch.Report) {
+	if a.err != nil {
+		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(a.err, upstream.ErrTooMany) {
+			return dispatch.Abandoned, nil
+		}
+		return dispatch.Broken, nil
+	}
+	var report *dispatch.Report
+	if load, ok := f.platform.ParseLoad(a.response.Header.Get(f.headers.Load)); ok {
+		report = &dispatch.Report{Running: load.Running, Waiting: load.Waiting}
+	}
+	h, status := a.response.Header, a.response.Status
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return dispatch.Misdirected, report
+	case h.Get(f.headers.NotRun) != "":
+		return dispatch.Shed, report
+	case status/100 == 2 && h.Get(f.headers.Stamp) == "":
+		return dispatch.Broken, nil
+	case status >= http.StatusInternalServerError:
+		return dispatch.Failed, report
+	default:
+		return dispatch.Answered, report
+	}
+}
+
+// wait waits for a result or until the request is due to be sent once more.
+func (c *call) wait(ctx context.Context, again time.Duration) *ingress.Response {
+	var hedge <-chan time.Time
+	if again > 0 {
+		timer := time.NewTimer(again)
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	for {
+		select {
+		case a := <-c.results:
+			c.running--
+			response, more := c.take(ctx, &a)
+			if response != nil || more && c.running == 0 {
+				return response
+			}
+		case <-hedge:
+			return nil
+		case <-ctx.Done():
+			return c.gaveUp(ctx)
+		}
+	}
+}
+
+// take judges a result. It returns an answer, or whether to go on.
+func (c *call) take(ctx context.Context, a *attempt) (response *ingress.Response, more bool) {
+	switch a.result {
+	case dispatch.Answered:
+		return c.pass(a), false
+	case dispatch.Failed:
+		c.ran = true
+		c.drop(c.failure)
+		c.failure = a
+		if c.mayRepeat() && c.route.Kind.Repeatable() {
+			return nil, true
+		}
+		if c.running > 0 {
+			return nil, false
+		}
+		return c.pass(a), false
+	case dispatch.Shed, dispatch.Misdirected:
+		return c.notRun(a)
+	default:
+		return c.lost(ctx, a)
+	}
+}
+
+// notRun handles an answer that says that the target did not run the request.
+func (c *call) notRun(a *attempt) (*ingress.Response, bool) {
+	c.drop(a)
+	if a.response.Status == http.StatusBadRequest && a.result == dispatch.Shed {
+		return c.pass(a), false
+	}
+	c.log(a).Send()
+	if c.sent < c.route.MaxAttempts && c.in.Rest == nil || c.running > 0 {
+		if a.result == dispatch.Misdirected {
+			time.Sleep(unsentPause) // the news of the new holder is on its way
+		}
+		return nil, true
+	}
+	return c.refusedBy(a), false
+}
+
+// refusedBy answers after the last attempt was refused.
+func (c *call) refusedBy(a *attempt) *ingress.Response {
+	switch {
+	case c.failure != nil:
+		return c.pass(c.failure)
+	case c.ran:
+		return c.broken(reasonBroken)
+	case a.result == dispatch.Misdirected:
+		return c.f.refuse(c, c.in, reasonMoved, holdStep)
+	default:
+		return c.f.refuse(c, c.in, reasonShed, max(c.decision.Expected, holdStep))
+	}
+}
+
+// lost handles an attempt without a usable answer.
+func (c *call) lost(ctx context.Context, a *attempt) (*ingress.Response, bool) {
+	if ctx.Err() != nil {
+		return c.gaveUp(ctx), false
+	}
+	c.log(a).Err(a.err).Send()
+	if a.notSent {
+		c.sent--
+		c.unsent++
+		if c.unsent < maxUnsent {
+			if c.key >= 0 {
+				time.Sleep(unsentPause)
+			}
+			return nil, true
+		}
+		if c.running > 0 {
+			return nil, false
+		}
+		if c.ran {
+			return c.broken(reasonUnsent), false
+		}
+		return c.f.refuse(c, c.in, reasonUnsent, holdStep), false
+	}
+	c.ran = true
+	if c.mayRepeat() {
+		return nil, true
+	}
+	if c.running > 0 {
+		return nil, false
+	}
+	if c.failure != nil {
+		return c.pass(c.failure), false
+	}
+	return c.broken(reasonBroken), false
+}
+
+// log begins the log line of an attempt that brought no answer.
+func (c *call) log(a *attempt) *zerolog.Event {
+	return c.f.log.Begin(zerolog.InfoLevel, "attempt."+a.result.String()).Str("request", c.in.Header.Get(c.f.headers.RequestID)).
+		Str("target", a.target.ID).Str("address", a.target.Address).Int("key", c.key).Int("sent", c.sent).Bool("not_sent", a.notSent).
+		Dur("took_ms", time.Since(c.in.Arrived)).Float64("target_load", c.decision.Load).
+		Dur("expected_ms", c.decision.Expected).Dur("report_age_ms", c.decision.ReportAge)
+}
+
+// broken answers that the outcome of the request is not known.
+func (c *call) broken(reason string) *ingress.Response {
+	c.f.decided(c, c.in, http.StatusBadGateway, reason).Str("target", c.decision.Target.ID).Send()
+	c.f.metrics.answered(c.route.Kind.String(), reason, time.Since(c.in.Arrived))
+	return &ingress.Response{Status: http.StatusBadGateway, Header: http.Header{}}
+}
+
+// gaveUp answers when the caller has gone or its time is over.
+func (c *call) gaveUp(ctx context.Context) *ingress.Response {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.f.decided(c, c.in, 0, "caller_gone").Send()
+		c.f.metrics.answered(c.route.Kind.String(), "caller_gone", time.Since(c.in.Arrived))
+		return noAnswer
+	}
+	if c.failure != nil {
+		return c.pass(c.failure)
+	}
+	if c.running == 0 && !c.ran {
+		return c.f.refuse(c, c.in, reasonTimeout, holdStep)
+	}
+	c.f.decided(c, c.in, http.StatusGatewayTimeout, reasonTimeout).Str("target", c.decision.Target.ID).
+		Dur("expected_ms", c.decision.Expected).Float64("target_load", c.decision.Load).Send()
+	c.f.metrics.answered(c.route.Kind.String(), reasonTimeout, time.Since(c.in.Arrived))
+	return &ingress.Response{Status: http.StatusGatewayTimeout, Header: http.Header{}}
+}
+
+// drop discards the answer of an attempt.
+func (c *call) drop(a *attempt) {
+	if a != nil && a.response != nil && a.response.Stream != nil {
+		_ = a.response.Stream.Close()
+	}
+}
+
+// pass passes a target's answer on.
+func (c *call) pass(a *attempt) *ingress.Response {
+	if a != c.failure {
+		c.drop(c.failure)
+	}
+	r := a.response
+	c.f.log.Begin(zerolog.InfoLevel, "request.answered").Str("request", c.in.Header.Get(c.f.headers.RequestID)).
+		Int("status", r.Status).Str("route", c.route.Name).Str("target", a.target.ID).Int("key", c.key).Int("sent", c.sent).
+		Dur("took_ms", time.Since(c.in.Arrived)).Uint64("config_version", c.configVersion).Send()
+	c.f.metrics.answered(c.route.Kind.String(), "answered", time.Since(c.in.Arrived))
+	return &ingress.Response{Status: r.Status, Header: r.Header, Body: r.Body, Stream: r.Stream, Length: r.Length}
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,7 +57,6 @@
 	log      zerolog.Logger
 	metrics  *meters
 	self     rangelease.Leader
-	zone     string
 	slack    float64
 	maxHold  time.Duration
 
@@ -165,182 +162,6 @@
 	return true
 }
 
-// hears reports whether the leader is alive and reaches the store.
-func (c *control) hears(now time.Duration) bool {
-	return c.link != nil && c.newsAt > 0 && now-c.newsAt < newsFresh && now-c.leaderAt < storeStale && !c.leaderLost
-}
-
-// elect takes over if there is no leader.
-func (c *control) elect(now time.Duration) {
-	if c.lead != nil {
-		if c.lead.granter.StoreAge(now) > rangelease.DefaultOptions.Blind {
-			c.stepDown("the store does not answer")
-		}
-		return
-	}
-	if c.hears(now) {
-		if c.noLeader > 0 || c.suspect > 0 {
-			c.log.Info().Str("event", "leader.heard").Str("leader", c.leaderID()).Uint64("term", c.term).Send()
-		}
-		c.suspect, c.noLeader = 0, 0
-		c.stopFollow(ownershipKind)
-		c.stopFollow(c.configKind())
-		c.stopFollow(c.platform.TargetKind())
-		return
-	}
-	c.startFollow(ownershipKind)
-	if c.noLeader == 0 {
-		c.noLeader = now
-	}
-	if now-c.noLeader > ownFollowAfter {
-		c.startFollow(c.configKind())
-		c.startFollow(c.platform.TargetKind())
-	}
-	if !c.recordKnown || c.stopping {
-		return
-	}
-	if c.suspect == 0 {
-		c.suspect = now
-		c.spread = rand.N(takeOverSpread) //nolint:gosec // not a secret
-		if c.record != nil {
-			c.log.Warn().Str("event", "leader.doubted").Str("leader", c.leaderID()).Uint64("term", c.term).
-				Bool("refused", c.refused).Dur("news_age_ms", now-c.newsAt).Dur("leader_store_age_ms", now-c.leaderAt).Send()
-		}
-	}
-	reachable := c.storeAt > 0 && now-c.storeAt < storeFresh && c.storeFailed == 0
-	if c.taking || !reachable || now < c.suspect+c.patience()+c.spread {
-		return
-	}
-	if c.lostLead > 0 && now-c.lostLead < deposedPatience && !c.refused {
-		return
-	}
-	c.takeOver()
-}
-
-// patience is the time between the first doubt and the take-over.
-func (c *control) patience() time.Duration {
-	switch {
-	case c.record == nil, c.record.Leader.ID == c.self.ID:
-		return 0
-	case c.refused, c.leaderLost:
-		return refusedPatience
-	default:
-		return newsFresh
-	}
-}
-
-func (c *control) leaderID() string {
-	if c.record == nil {
-		return ""
-	}
-	return c.record.Leader.ID
-}
-
-// takeOver stores the record with a higher term and this instance as leader.
-func (c *control) takeOver() {
-	next := &rangelease.Record{Term: 1, Services: map[string][]rangelease.Entry{}}
-	if c.record != nil {
-		copied := *c.record
-		next = &copied
-		next.Term++
-	}
-	next.Leader = c.self
-	c.taking = true
-	value, err := next.Encode()
-	if err != nil {
-		c.log.Error().Str("event", "leader.encode").Err(err).Send()
-		return
-	}
-	object := store.Object{Kind: ownershipKind, Name: ownershipName, Version: c.recordVersion, Value: value, Writer: writerMark(next)}
-	c.t.Go(func() error {
-		sent := socket.BootTime()
-		write := c.store.Update
-		if object.Version == 0 {
-			write = c.store.Create
-		}
-		got, err := write(c.t.Context(context.Background()), object)
-		c.post(func() { c.tookOver(sent, next, got, err) })
-		return nil
-	})
-}
-
-func (c *control) tookOver(sent time.Duration, next *rangelease.Record, got store.Object, err error) {
-	c.taking = false
-	if err != nil {
-		c.log.Info().Str("event", "leader.take_over_failed").Uint64("term", next.Term).Err(err).Send()
-		c.suspect = 0
-		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrExists) {
-			c.storeLost(socket.BootTime(), err)
-		}
-		return
-	}
-	c.storeAnswered(socket.BootTime())
-	c.became(sent, next, got.Version)
-}
-
-// became starts to lead under a record that the store has.
-func (c *control) became(sent time.Duration, r *rangelease.Record, version store.Version) {
-	if version <= c.recordVersion || c.lead != nil {
-		return
-	}
-	c.record, c.recordVersion, c.term = r, version, r.Term
-	if c.link != nil {
-		c.link.cancel()
-		c.link = nil
-	}
-	c.suspect, c.noLeader = 0, 0
-	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Send()
-	c.lead = newLeadership(c, sent, r, version)
-	c.startFollow(ownershipKind)
-	c.startFollow(c.configKind())
-	c.startFollow(c.platform.TargetKind())
-}
-
-// stepDown ends the lead of this instance.
-func (c *control) stepDown(why string) {
-	if c.lead == nil {
-		return
-	}
-	c.log.Warn().Str("event", "leader.stepped_down").Uint64("term", c.term).Str("reason", why).Send()
-	c.lead.close()
-	c.lead = nil
-	c.lostLead = socket.BootTime()
-}
-
-// recordSeen takes the record as the store has it.
-func (c *control) recordSeen(sent time.Duration, r *rangelease.Record, version store.Version) {
-	c.recordKnown = true
-	if r == nil || version < c.recordVersion {
-		return
-	}
-	if c.lead != nil && r.Term == c.lead.granter.Term() && r.Leader == c.self {
-		c.lead.granter.Confirmed(sent)
-		c.record, c.recordVersion = r, max(c.recordVersion, version)
-		return
-	}
-	if version == c.recordVersion {
-		return
-	}
-	known := c.record != nil && c.record.Leader == r.Leader && c.record.Term == r.Term
-	c.record, c.recordVersion = r, version
-	if known {
-		return
-	}
-	if r.Leader == c.self && r.Term > c.term && c.lead == nil {
-		// The answer to the take-over was lost.
-		c.recordVersion--
-		c.became(sent, r, version)
-		return
-	}
-	c.term = max(c.term, r.Term)
-	if c.lead != nil {
-		c.stepDown("another instance leads")
-	}
-	c.suspect, c.newsAt, c.leaderAt, c.refused, c.leaderLost = 0, 0, 0, false, false
-	c.log.Info().Str("event", "leader.seen").Str("leader", r.Leader.ID).Uint64("term", r.Term).Send()
-	c.dialLeader()
-}
-
 func (c *control) storeAnswered(now time.Duration) {
 	if c.storeFailed > 0 {
 		if now-c.storeFailed > outageTime {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,8 +104,8 @@
 	}
 	i.control = &control{
 		platform: p, store: objects, shared: i.shared, client: i.client, log: log.Logger, metrics: i.metrics,
-		self: rangelease.Leader{ID: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.PeerAddress},
-		zone: s.Zone, slack: float64(s.Retries.Slack), maxHold: s.MaxHold, events: make(chan func(), 256),
+		self:  rangelease.Leader{ID: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.PeerAddress},
+		slack: float64(s.Retries.Slack), maxHold: s.MaxHold, events: make(chan func(), 256),
 		targets: newTargetList(), owners: map[string][]dispatch.Owner{}, follows: map[string]context.CancelFunc{},
 	}
 	return i, nil
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -111,7 +111,7 @@
 
 // tick plans, sends what is due and tells the followers.
 func (l *leadership) tick(now time.Duration) {
-	if l.granter.Deposed() {
+	if l.granter.TakeFenced() {
 		l.c.log.Warn().Str("event", "leader.fenced").Uint64("term", l.granter.Term()).Send()
 		l.checkRecord()
 	}
@@ -326,7 +326,6 @@
 // checkRecord reads the record, because a target has seen a later term.
 func (l *leadership) checkRecord() {
 	c := l.c
-	l.granter.Confirmed(0)
 	c.t.Go(func() error {
 		sent := socket.BootTime()
 		got, err := c.store.Get(l.ctx, ownershipKind, ownershipName)
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -45,7 +45,7 @@
 		c.link.cancel()
 		c.link = nil
 	}
-	if c.record == nil || c.record.Leader.ID == c.self.ID || c.stopping && c.lead != nil {
+	if c.record == nil || c.record.Leader.ID == c.self.ID {
 		return
 	}
 	ctx, cancel := context.WithCancel(c.t.Context(context.Background()))
--- /dev/null
+++ b/internal/ingress/write.go
@@ -0,0 +1,97 @@
+package ingress
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/boragegate/boragegate/internal/httpwire"
+)
+
+// write sends an answer.
+func (c *conn) write(x *exchange, shut bool) error {
+	r := x.response
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.Status) + " " + http.StatusText(r.Status) + "\r\n")
+	for name, values := range r.Header {
+		if httpwire.HopByHop(name) {
+			continue
+		}
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	length := int64(len(r.Body))
+	if r.Stream != nil {
+		length = r.Length
+	}
+	hasBody := r.Status >= http.StatusOK && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified
+	chunked := length < 0
+	switch {
+	case !hasBody:
+	case chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	default:
+		b.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
+	}
+	if shut {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	if x.request != nil && x.request.Method == http.MethodHead || !hasBody {
+		_, err := c.nc.Write(b.Bytes())
+		return errors.Join(err, closeStream(r))
+	}
+	if !chunked {
+		buffers := net.Buffers{b.Bytes(), r.Body}
+		if _, err := buffers.WriteTo(c.nc); err != nil || r.Stream == nil {
+			return errors.Join(err, closeStream(r))
+		}
+		return c.stream(c.nc, r)
+	}
+	w := &httpwire.ChunkWriter{W: c.nc}
+	if _, err := c.nc.Write(b.Bytes()); err != nil {
+		return errors.Join(err, closeStream(r))
+	}
+	if _, err := w.Write(r.Body); err != nil {
+		return errors.Join(err, closeStream(r))
+	}
+	if err := c.stream(w, r); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
+func closeStream(r *Response) error {
+	if r.Stream == nil {
+		return nil
+	}
+	return r.Stream.Close()
+}
+
+// stream copies the rest of an answer.
+func (c *conn) stream(w io.Writer, r *Response) error {
+	left := r.Length - int64(len(r.Body))
+	n, err := io.Copy(&deadlineWriter{c.nc, w}, r.Stream)
+	if err == nil && r.Length >= 0 && n != left {
+		err = io.ErrUnexpectedEOF
+	}
+	return errors.Join(err, r.Stream.Close())
+}
+
+// deadlineWriter gives each write the whole time.
+type deadlineWriter struct {
+	nc net.Conn
+	w  io.Writer
+}
+
+func (d *deadlineWriter) Write(p []byte) (int, error) {
+	_ = d.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return d.w.Write(p)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -22,6 +22,8 @@
 	// wholeBodyBytes is the largest answer that is read before it is passed on. A
 	// broken one can then be replaced by another target's.
 	wholeBodyBytes = 1 << 20
+	// streamTimeout bounds the pause between two parts of a large answer.
+	streamTimeout = 10 * time.Second
 	// maxForeign is the number of answers to other requests that are skipped.
 	maxForeign = 4
 	// maxForeignBytes is the largest answer to another request that is skipped.
@@ -68,11 +70,11 @@
 	_ = cn.nc.SetDeadline(time.Time{})
 	stop := context.AfterFunc(ctx, func() { _ = cn.nc.SetDeadline(time.Unix(1, 0)) })
 	resp, reusable, err := cn.exchange(r)
+	reusable = stop() && reusable
 	if resp != nil && resp.Stream != nil {
-		resp.Stream = &stream{Reader: resp.Stream, cn: cn, stop: stop}
+		resp.Stream = &stream{r: resp.Stream, cn: cn}
 		return resp, nil
 	}
-	reusable = stop() && reusable
 	if err != nil {
 		c.put(cn, false)
 		return nil, err
@@ -81,16 +83,21 @@
 	return resp, nil
 }
 
-// stream is the rest of a large answer. Its connection is not used again.
+// stream is the rest of a large answer. It does not depend on the context of its
+// exchange, which ends when the answer is passed on. Its connection is not used again.
 type stream struct {
-	io.Reader
-	cn   *conn
-	stop func() bool
+	r  io.Reader
+	cn *conn
+}
+
+// Read ends with an error if the server pauses for longer than streamTimeout.
+func (s *stream) Read(p []byte) (int, error) {
+	_ = s.cn.nc.SetReadDeadline(time.Now().Add(streamTimeout))
+	return s.r.Read(p)
 }
 
 // Close ends the connection.
 func (s *stream) Close() error {
-	s.stop()
 	s.cn.client.put(s.cn, false)
 	return nil
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -95,6 +96,21 @@
 		Entry("keep-alive that is over", "HTTP/1.1 200 OK\nX-Id: ID\nKeep-Alive: timeout=0\nContent-Length: 2\n\nok", false, 2),
 	)
 
+	It("passes on the rest of a large answer after the exchange's context has ended", func() {
+		// Guards against large downloads that break when the request's handler returns.
+		size := 3 << 20
+		script.Store(answers{"HTTP/1.1 200 OK\nX-Id: ID\nContent-Length: " + strconv.Itoa(size) + "\n\n" + strings.Repeat("x", size)})
+		ctx, cancel := context.WithCancel(bg)
+		resp, err := client.Do(ctx, target, &upstream.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, ID: "1"})
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		rest, err := io.ReadAll(resp.Stream)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(resp.Body) + len(rest)).To(Equal(size))
+		Expect(resp.Stream.Close()).To(Succeed())
+		Expect(client.Open()).To(BeZero())
+	})
+
 	It("says that nothing was sent if there is no connection", func() {
 		// Guards against requests that are given up although they may be sent elsewhere.
 		target.Address = "127.0.0.1:1"
--- a/ownership/rangelease/granter.go
+++ b/ownership/rangelease/granter.go
@@ -136,16 +136,17 @@
 // Term is the term of the granter.
 func (g *Granter) Term() uint64 { return g.term }
 
-// Deposed reports that a target has seen a token of a later term. The caller
-// reads the record and stops if it has another leader.
-func (g *Granter) Deposed() bool { return g.fenced }
-
-// Confirmed notes that the store confirmed the term, by an answer to a call that was sent at the time.
-func (g *Granter) Confirmed(sent lease.Instant) {
-	g.storeAt = max(g.storeAt, sent)
+// TakeFenced reports, once for each time, that a target has seen a token of a
+// later term. The caller reads the record and stops if it has another leader.
+func (g *Granter) TakeFenced() bool {
+	fenced := g.fenced
 	g.fenced = false
+	return fenced
 }
 
+// Confirmed notes that the store confirmed the term, by an answer to a call that was sent at the time.
+func (g *Granter) Confirmed(sent lease.Instant) { g.storeAt = max(g.storeAt, sent) }
+
 // SetServices sets the partitioned services. Spans of others are dropped: their
 // leases run out.
 func (g *Granter) SetServices(names []string) {
--- a/placement/keyrange/plan.go
+++ b/placement/keyrange/plan.go
@@ -255,37 +255,57 @@
 	if p.targets[fastest].Capacity < fasterBy*capacity {
 		return false
 	}
-	for i, r := range p.parts {
-		if r.Fixed || taken[i] || r.Holder != p.targets[high].Lifetime || r.load < hotKeyShare*capacity {
-			continue
-		}
+	hot, at, load := -1, 0, 0.0
+	p.movable(high, taken, func(i int, r part) {
 		for j, w := range r.weights {
-			if w < hotKeyShare*capacity {
-				continue
+			if w >= hotKeyShare*capacity && w > load {
+				hot, at, load = i, j, w
 			}
-			taken[i] = true
-			key := routing.Span{From: r.From + j, To: r.From + j}
-			p.split(i, key)
-			p.load[high] -= w
-			p.give(key, w, fastest, true)
-			return true
 		}
+	})
+	if hot < 0 {
+		return false
 	}
-	return false
+	taken[hot] = true
+	key := routing.Span{From: p.parts[hot].From + at, To: p.parts[hot].From + at}
+	p.split(hot, key)
+	p.load[high] -= load
+	p.give(key, load, fastest, true)
+	return true
 }
 
-// cut moves the narrowest part of about the wanted load from one target to another.
+// cut moves the narrowest part of about the wanted load from one target to
+// another, or the heaviest that is lighter if there is none.
 func (p *planner) cut(high, low int, want float64, taken map[int]bool) bool {
-	best, bestCost := -1, 0
-	var window routing.Span
-	var load float64
+	best, window, load := p.narrowestOf(high, want, taken)
+	if best < 0 {
+		best, window, load = p.heaviestOf(high, want, taken)
+	}
+	if best < 0 {
+		return false
+	}
+	taken[best] = true
+	p.split(best, window)
+	p.load[high] -= load
+	p.give(window, load, low, true)
+	return true
+}
+
+// movable calls f for each part of a target that may be cut.
+func (p *planner) movable(holder int, taken map[int]bool, f func(i int, r part)) {
 	for i, r := range p.parts {
-		if r.Fixed || taken[i] || r.Holder != p.targets[high].Lifetime {
-			continue
+		if !r.Fixed && !taken[i] && r.Holder == p.targets[holder].Lifetime {
+			f(i, r)
 		}
+	}
+}
+
+func (p *planner) narrowestOf(holder int, want float64, taken map[int]bool) (best int, window routing.Span, load float64) {
+	best, bestCost := -1, 0
+	p.movable(holder, taken, func(i int, r part) {
 		w, l, ok := narrowest(r, want)
 		if !ok {
-			continue
+			return
 		}
 		cost := w.Len()
 		if w.From != r.From && w.To != r.To {
@@ -294,26 +314,18 @@
 		if best < 0 || cost < bestCost {
 			best, bestCost, window, load = i, cost, w, l
 		}
-	}
-	for i, r := range p.parts {
-		if bestCost > 0 { // a window near the wanted load was found
-			break
-		}
-		if r.Fixed || taken[i] || r.Holder != p.targets[high].Lifetime {
-			continue
-		}
+	})
+	return best, window, load
+}
+
+func (p *planner) heaviestOf(holder int, want float64, taken map[int]bool) (best int, window routing.Span, load float64) {
+	best = -1
+	p.movable(holder, taken, func(i int, r part) {
 		if w, l := heaviest(r, want); l > load && l > worthMoving*want {
 			best, window, load = i, w, l
 		}
-	}
-	if best < 0 {
-		return false
-	}
-	taken[best] = true
-	p.split(best, window)
-	p.load[high] -= load
-	p.give(window, load, low, true)
-	return true
+	})
+	return best, window, load
 }
 
 // split replaces a part by what is left of it, so that one plan can relieve a
