Count an earlier leader's right to renew from the answer to the take-over

Cause: read in the code: the wait for leases that an earlier leader may still renew began when the take-over was sent. The store may carry it out later, up to 1.5 s while it is slow, and the earlier leader may have been confirmed in between. Conclusion: both bounds are on the safe side.

--- a/ownership/rangelease/granter.go
+++ b/ownership/rangelease/granter.go
@@ -93,12 +93,13 @@
 }
 
 // New returns the granter of a record that was just stored with its term and
-// leader. Leases of the holders in it may be in force and may be renewed by an
-// earlier granter for some time.
-func New(o Options, now lease.Instant, r *Record) *Granter {
+// leader, by a call that was sent at one time and answered at now. Leases of the
+// holders in it may be in force and may be renewed by an earlier granter, whose
+// own time since the store's last confirmation began before now.
+func New(o Options, sent, now lease.Instant, r *Record) *Granter {
 	g := &Granter{
 		o: o, term: r.Term, leader: r.Leader,
-		spans: map[string][]*span{}, peers: map[routing.Lifetime]*peer{}, storeAt: now,
+		spans: map[string][]*span{}, peers: map[routing.Lifetime]*peer{}, storeAt: sent,
 	}
 	inherited := now + o.Blind + g.leaseLength(o.OutageHold)
 	for name, entries := range r.Services {
--- a/ownership/rangelease/world_test.go
+++ b/ownership/rangelease/world_test.go
@@ -121,7 +121,7 @@
 	w.record = r
 	w.version++
 	in.version = w.version
-	in.granter = rangelease.New(rangelease.DefaultOptions, w.now, r)
+	in.granter = rangelease.New(rangelease.DefaultOptions, w.now, w.now, r)
 	in.granter.SetServices([]string{service})
 }
 
