Set the idle time of the ingress tests without a race, and decide the end of a connection under its lock

Read in passing: conn.shut looked at the queue without the lock. Ruled out: load as the cause; the detector names both accesses, in the test and in a connection's goroutine. Change: the test's idle time is atomic; whether an answer is missing is determined under the lock and handed over. Measured: go test -race -count=1 ./internal/ingress passes three times in a row; the suite cannot be repeated with -count=3, which ginkgo refuses. Conclusion: behaviour of the program is unchanged.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -326,15 +326,16 @@
 	c.mu.Unlock()
 	switch {
 	case closing:
-		c.shut()
+		c.shut(idle)
 	case idle:
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.s.Limits().IdleTimeout))
 	}
 }
 
-// shut ends the sending side and wakes the reader, which lingers.
-func (c *conn) shut() {
-	if len(c.queue) > 0 { // an answer is missing or incomplete
+// shut ends the sending side and wakes the reader, which lingers. If an answer is
+// missing or incomplete, it ends the connection at once.
+func (c *conn) shut(answered bool) {
+	if !answered {
 		_ = c.nc.Close()
 		c.end()
 		return
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,16 +30,17 @@
 		address string
 		gone    chan string
 		release chan struct{}
+		idle    atomic.Int64 // idle timeout, as a time.Duration
 	)
 	BeforeEach(func() {
 		ignore := goleak.IgnoreCurrent()
 		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
+		idle.Store(int64(ingress.DefaultLimits.IdleTimeout))
 		gone, release = make(chan string, 10), make(chan struct{})
 		server = &ingress.Server{
 			Limits: func() ingress.Limits {
 				l := ingress.DefaultLimits
-				l.HeaderBytes = 4 << 10
-				l.BodyBytes = 1 << 20
+				l.HeaderBytes, l.BodyBytes, l.IdleTimeout = 4<<10, 1<<20, time.Duration(idle.Load())
 				return l
 			},
 			StartsAlone: func(r *http.Request) bool { return r.Method == http.MethodPost },
@@ -190,7 +192,7 @@
 	})
 
 	It("closes connections that stay idle", func() {
-		server.Limits = func() ingress.Limits { l := ingress.DefaultLimits; l.IdleTimeout = 50 * time.Millisecond; return l }
+		idle.Store(int64(50 * time.Millisecond))
 		c, r := dial()
 		send(c, "GET /a HTTP/1.1\nHost: h\n\n")
 		_, _, err := answer(r)
