Name the control goroutine's steps by what they do

Cause: read as a newcomer, names such as hears, succeed and became do not say what a step does. Change: renames within internal/edge; no behaviour changes. Measured: go vet, golangci-lint and go test -race ./platform pass.

--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -11,8 +11,8 @@
 	"github.com/boragegate/boragegate/store"
 )
 
-// hears reports whether the leader is alive and reaches the store.
-func (c *control) hears(now time.Duration) bool {
+// leaderHealthy reports whether the leader is alive and reaches the store.
+func (c *control) leaderHealthy(now time.Duration) bool {
 	return c.link != nil && c.newsAt > 0 && now-c.newsAt < newsFresh && now-c.leaderAt < storeStale && !c.leaderLost
 }
 
@@ -24,7 +24,7 @@
 		}
 		return
 	}
-	if c.hears(now) {
+	if c.leaderHealthy(now) {
 		if c.noLeader > 0 || c.suspect > 0 {
 			c.log.Info().Str("event", "leader.heard").Str("leader", c.leaderID()).Uint64("term", c.term).Send()
 		}
@@ -105,12 +105,12 @@
 			write = c.store.Create
 		}
 		got, err := write(c.t.Context(context.Background()), object)
-		c.post(func() { c.tookOver(sent, next, got, err) })
+		c.post(func() { c.takeOverDone(sent, next, got, err) })
 		return nil
 	})
 }
 
-func (c *control) tookOver(sent time.Duration, next *rangelease.Record, got store.Object, err error) {
+func (c *control) takeOverDone(sent time.Duration, next *rangelease.Record, got store.Object, err error) {
 	c.taking = false
 	if err != nil {
 		c.log.Info().Str("event", "leader.take_over_failed").Uint64("term", next.Term).Err(err).Send()
@@ -121,11 +121,11 @@
 		return
 	}
 	c.storeAnswered(socket.BootTime())
-	c.became(sent, next, got.Version)
+	c.startLeading(sent, next, got.Version)
 }
 
-// became starts to lead under a record that the store has.
-func (c *control) became(sent time.Duration, r *rangelease.Record, version store.Version) {
+// startLeading starts to lead under a record that the store has.
+func (c *control) startLeading(sent time.Duration, r *rangelease.Record, version store.Version) {
 	if version <= c.recordVersion || c.lead != nil {
 		return
 	}
@@ -175,7 +175,7 @@
 	if r.Leader == c.self && r.Term > c.term && c.lead == nil {
 		// The answer to the take-over was lost.
 		c.recordVersion--
-		c.became(sent, r, version)
+		c.startLeading(sent, r, version)
 		return
 	}
 	c.term = max(c.term, r.Term)
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -97,7 +97,7 @@
 		if kind == kindNotLeader {
 			return errNotLeader
 		}
-		c.post(func() { c.newsSeen(l, n) })
+		c.post(func() { c.applyNews(l, n) })
 	}
 }
 
@@ -133,8 +133,8 @@
 	}
 }
 
-// newsSeen adopts what the leader says.
-func (c *control) newsSeen(l *link, n *news) {
+// applyNews adopts what the leader says.
+func (c *control) applyNews(l *link, n *news) {
 	if c.link != l || n.Term < c.term || c.lead != nil {
 		return
 	}
@@ -146,7 +146,7 @@
 		c.configSeen(store.Object{Kind: c.configKind(), Name: n.Config.Name, Version: n.Config.Version, Value: n.Config.Value})
 	}
 	if n.Targets != nil && n.Targets.Version >= c.targets.version {
-		c.targetsTold(now, n.Targets)
+		c.adoptTargets(now, n.Targets)
 	}
 	if len(n.Owners) > 0 {
 		changed := map[string][]dispatch.Owner{}
@@ -161,12 +161,12 @@
 		c.ownersChanged(changed)
 	}
 	if n.Successor == c.self.ID && !c.taking && !c.stopping {
-		c.succeed()
+		c.takeOverFrom()
 	}
 }
 
-// succeed takes over from a leader that stops.
-func (c *control) succeed() {
+// takeOverFrom takes over from a leader that stops.
+func (c *control) takeOverFrom() {
 	c.t.Go(func() error {
 		sent := socket.BootTime()
 		got, err := c.store.Get(c.t.Context(context.Background()), ownershipKind, ownershipName)
@@ -185,8 +185,8 @@
 	})
 }
 
-// targetsTold adopts the leader's list of targets or its changes.
-func (c *control) targetsTold(now time.Duration, n *targetNews) {
+// adoptTargets adopts the leader's list of targets or its changes.
+func (c *control) adoptTargets(now time.Duration, n *targetNews) {
 	c.targets.doubtUntil = 0 // the leader has judged missing entries
 	change := &targetNews{Version: n.Version, Put: map[string]routing.Target{}}
 	for name, t := range n.Put {
@@ -273,7 +273,7 @@
 	ctx, cancel := context.WithCancel(c.t.Context(context.Background()))
 	defer cancel()
 	f := &follower{name: h.Instance, conn: conn, out: make(chan []byte, linkQueue), done: cancel}
-	c.post(func() { c.followerCame(f) })
+	c.post(func() { c.addFollower(f) })
 	defer c.post(func() {
 		if c.lead != nil {
 			delete(c.lead.followers, f)
@@ -294,8 +294,8 @@
 	}
 }
 
-// followerCame gives a follower everything, or sends it away.
-func (c *control) followerCame(f *follower) {
+// addFollower gives a follower everything, or sends it away.
+func (c *control) addFollower(f *follower) {
 	if c.lead == nil {
 		if frame, err := encodeFrame(kindNotLeader, struct{}{}); err == nil {
 			f.out <- frame
