Wait for the count of requests in flight in a test of ingress

Ruled out: a started POST, which would keep the count at one for good, as the check still demands. Change: the test waits for zero. Conclusion: as strict as before, without the race.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -135,7 +135,7 @@
 		Expect(resp.Close).To(BeTrue())
 		_, _, err = answer(r)
 		Expect(err).To(HaveOccurred())
-		Expect(server.InFlight()).To(BeZero())
+		Eventually(server.InFlight).Should(BeZero(), "the POST would wait for its release")
 	})
 
 	DescribeTable("does not let a broken answer look complete",
