Drop what the entry instance keeps and does not use

Cause: read once more: each attempt had a context that nothing cancelled, a result nobody looked at came back from Board.Started, requests carried a count that nobody read, and a repeatable kind was asked for twice. Change: they are gone; an attempt ends with its request's context, as before. Conclusion: behaviour is the same with less state.

--- a/dispatch/feedback.go
+++ b/dispatch/feedback.go
@@ -35,14 +35,11 @@
 	Running, Waiting int
 }
 
-// Started notes that a request is on its way to a target. It returns false if
-// the target has gone.
-func (b *Board) Started(id routing.Lifetime) bool {
-	t := b.byID[id]
-	if t != nil {
+// Started notes that a request is on its way to a target.
+func (b *Board) Started(id routing.Lifetime) {
+	if t := b.byID[id]; t != nil {
 		t.inFlight++
 	}
-	return t != nil
 }
 
 // Finished notes how an attempt ended, after the time took, with the target's
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -46,7 +46,6 @@
 	response *upstream.Response
 	err      error
 	notSent  bool
-	cancel   context.CancelFunc
 }
 
 // run sends the request until there is an answer to pass on.
@@ -122,7 +121,6 @@
 
 // start sends the request to a target on a goroutine of its own.
 func (c *call) start(ctx context.Context, t routing.Target, left time.Duration) {
-	ctx, cancel := context.WithCancel(ctx)
 	c.running++
 	if c.sent > 0 {
 		c.f.metrics.repeats.Inc(1)
@@ -133,7 +131,7 @@
 	}
 	request := c.outgoing(&t, left)
 	go func() {
-		a := attempt{target: t, cancel: cancel}
+		a := attempt{target: t}
 		began := time.Now()
 		a.response, a.err = c.f.client.Do(ctx, &t, request)
 		a.notSent = errors.Is(a.err, upstream.ErrNotSent)
@@ -221,7 +219,7 @@
 		c.ran = true
 		c.drop(c.failure)
 		c.failure = a
-		if c.mayRepeat() && c.route.Kind.Repeatable() {
+		if c.mayRepeat() {
 			return nil, true
 		}
 		if c.running > 0 {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -245,9 +245,6 @@
 	if c.closing {
 		return false
 	}
-	if x.request != nil {
-		x.request.Behind = len(c.queue)
-	}
 	if len(c.queue) == 0 {
 		close(x.first)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -41,8 +41,6 @@
 	Length int64
 	// Arrived is the time at which the header had been read.
 	Arrived time.Time
-	// Behind is the number of requests before it on the connection that are not answered yet.
-	Behind int
 }
 
 // Response is the answer to a request.
