--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -171,16 +171,48 @@
 
 // SetTargets replaces the targets. What is known of those that stay is kept.
 func (b *Board) SetTargets(now time.Duration, list []routing.Target) {
-	old := b.byID
-	b.byID, b.services = map[routing.Lifetime]*target{}, map[string][]*target{}
-	for _, t := range list {
-		s := old[t.Lifetime()]
-		if s == nil {
+	listed := make(map[routing.Lifetime]bool, len(list))
+	for i := range list {
+		listed[list[i].Lifetime()] = true
+	}
+	var gone []routing.Lifetime
+	for id := range b.byID {
+		if !listed[id] {
+			gone = append(gone, id)
+		}
+	}
+	b.ChangeTargets(now, list, gone)
+}
+
+// ChangeTargets adds or replaces targets and removes others.
+func (b *Board) ChangeTargets(now time.Duration, put []routing.Target, gone []routing.Lifetime) {
+	for _, id := range gone {
+		if t := b.byID[id]; t != nil {
+			delete(b.byID, id)
+			b.unlist(t)
+		}
+	}
+	for i := range put {
+		t := &put[i]
+		s := b.byID[t.Lifetime()]
+		switch {
+		case s == nil:
 			s = &target{coldUntil: now + t.WarmUp}
+			b.byID[t.Lifetime()] = s
+			b.services[t.Service] = append(b.services[t.Service], s)
+		case s.Service != t.Service:
+			b.unlist(s)
+			b.services[t.Service] = append(b.services[t.Service], s)
 		}
-		s.Target = t
-		b.byID[t.Lifetime()] = s
-		b.services[t.Service] = append(b.services[t.Service], s)
+		s.Target = *t
+	}
+}
+
+// unlist removes a target from the list of its service.
+func (b *Board) unlist(t *target) {
+	list := b.services[t.Service]
+	if i := slices.Index(list, t); i >= 0 {
+		b.services[t.Service] = slices.Delete(list, i, i+1)
 	}
 }
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -25,6 +25,12 @@
 	ReadinessAddress string
 	// PeerAddress is the host:port for other instances.
 	PeerAddress string
+	// Seeds are the PeerAddresses of a few instances that a starting one can ask who
+	// leads; they may have ended. Empty if the platform names none.
+	Seeds []string
+	// ApplyWithin is the time within which a change of the configuration has to be in
+	// force everywhere; 0 if it is not told.
+	ApplyWithin time.Duration
 	// MetricsAddress is the host:port for metrics.
 	MetricsAddress string
 	// MemoryBytes is the limit of the process's memory; 0 means none.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -12,6 +12,7 @@
 	"github.com/boragegate/boragegate/internal/deployment"
 	"github.com/boragegate/boragegate/internal/socket"
 	"github.com/boragegate/boragegate/internal/upstream"
+	"github.com/boragegate/boragegate/ownership/election"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/routing"
 	"github.com/boragegate/boragegate/store"
@@ -26,40 +27,16 @@
 	tickInterval = 50 * time.Millisecond
 	// heartbeatInterval is the pace of news without content.
 	heartbeatInterval = 300 * time.Millisecond
-	// newsFresh is the age of the last news up to which the leader counts as alive:
-	// three heartbeats may be late.
-	newsFresh = 1200 * time.Millisecond
-	// storeStale is the age of the leader's last answer from the store from which
-	// another instance may take over. It is above the wait of a poll of the leader.
-	storeStale = 3 * time.Second
-	// refusedPatience is the time for which a leader whose address refuses
-	// connections may start to listen, or may reach the store again.
-	refusedPatience = 250 * time.Millisecond
-	// takeOverSpread spreads the instances that want to take over.
-	takeOverSpread = 300 * time.Millisecond
-	// deposedPatience is the time for which an instance that lost the lead leaves
-	// it to others, so that two that do not hear each other do not take turns.
-	deposedPatience = 3 * time.Second
 	// storeFresh is the age of the last answer of the store up to which it counts as reachable.
 	storeFresh = time.Second
-	// ownFollowAfter is the time since the last news after which an instance follows
-	// configuration and targets in the store by itself: changes must be in force
-	// within 2 s. Most leaders are replaced before, and hundreds of instances that
-	// follow the store for a moment are many calls.
-	ownFollowAfter = 1400 * time.Millisecond
 	// newsAhead is the time after a news for which the leader vouches for what it would
 	// leave behind. It covers a take-over from a leader that ended, also by a weak
 	// instance, and stays below the age at which grants get longer.
 	newsAhead = 1500 * time.Millisecond
-	// firstPatience is the time for which the weakest instance waits before it leads
-	// a deployment that starts for the first time, so that stronger ones come first.
-	firstPatience = 800 * time.Millisecond
-	// weakPatience is the time for which an instance leaves a lost lead to those
-	// that are as strong as the leader was.
-	weakPatience = 600 * time.Millisecond
-	// strongEnough is the part of the leader's strength from which another instance
-	// can lead as well.
-	strongEnough = 0.7
+	// sweepInterval is the pace at which idle connections are looked through.
+	sweepInterval = 500 * time.Millisecond
+	// manyChanges is the number of changed targets from which one line is logged for all.
+	manyChanges = 64
 	// yieldInterval is the time between two attempts to give the lead to a stronger
 	// instance, and the time for which that one must have been linked.
 	yieldInterval = 3 * time.Second
@@ -83,6 +60,12 @@
 	maxHold  time.Duration
 
 	events chan func()
+	// urgent has what must not wait behind other events: answers of the store, by which
+	// followers judge their leader.
+	urgent  chan func()
+	elector *election.Elector
+	askers  []*asker
+	sweptAt time.Duration
 
 	configVersion store.Version
 	configObject  store.Object
@@ -108,17 +91,13 @@
 	refused  bool
 	// leaderLost says that the store does not answer the leader.
 	leaderLost bool
-	suspect    time.Duration // begin of the doubt about the leader, 0 if there is none
-	spread     time.Duration
 	taking     bool
-	lostLead   time.Duration
 
 	// leaderEnded says that the leader's process has ended: its address refuses connections.
 	leaderEnded  bool
 	leaderLeft   rangelease.Left // what it leaves behind, as it said at leaderLeftAt
 	leaderLeftAt time.Duration
 
-	heardAt    time.Duration // last news of a leader that reached the store, or the start
 	reportedAt time.Duration // last report of the load to the leader
 
 	lead *leadership
@@ -127,9 +106,14 @@
 }
 
 // post runs a function on the control goroutine. It may be called on any goroutine.
-func (c *control) post(f func()) {
+func (c *control) post(f func()) { c.enqueue(c.events, f) }
+
+// postUrgent is post for what goes before all other events.
+func (c *control) postUrgent(f func()) { c.enqueue(c.urgent, f) }
+
+func (c *control) enqueue(queue chan<- func(), f func()) {
 	select {
-	case c.events <- f:
+	case queue <- f:
 	case <-c.t.Dying():
 	}
 }
@@ -137,12 +121,18 @@
 func (c *control) run() error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	c.heardAt = socket.BootTime()
-	c.startFollow(ownershipKind)
 	for {
 		select {
+		case f := <-c.urgent:
+			c.handle(f)
+			continue
+		default:
+		}
+		select {
+		case f := <-c.urgent:
+			c.handle(f)
 		case f := <-c.events:
-			f()
+			c.handle(f)
 		case <-ticker.C:
 			c.tick(socket.BootTime())
 		case <-c.t.Dying():
@@ -152,6 +142,15 @@
 	}
 }
 
+// handle runs an event. A leader that was suspended has to notice that before it acts
+// on anything that came meanwhile.
+func (c *control) handle(f func()) {
+	if c.lead != nil {
+		c.lead.checkSuspended(socket.BootTime())
+	}
+	f()
+}
+
 func (c *control) stopAll() {
 	for _, cancel := range c.follows {
 		cancel()
@@ -167,12 +166,16 @@
 func (c *control) tick(now time.Duration) {
 	c.targetsChanged(now, &targetNews{Version: c.targets.version, Deleted: c.targets.expire(now)})
 	c.elect(now)
+	c.tellAskers(now)
 	if c.lead != nil {
 		c.lead.tick(now)
 	} else {
 		c.report(now)
 	}
-	c.client.Sweep(time.Now())
+	if now-c.sweptAt >= sweepInterval {
+		c.sweptAt = now
+		c.client.Sweep(time.Now())
+	}
 }
 
 // ready reports whether requests can be served. It may be called on any goroutine.
@@ -199,6 +202,9 @@
 		c.log.Info().Str("event", "store.regained").Dur("outage_ms", now-c.storeFailed).Send()
 		c.storeFailed = 0
 		close(c.storeBack)
+		if c.lead != nil {
+			c.lead.broadcast(news{}) // before others take over
+		}
 	}
 	c.storeAt = now
 }
@@ -247,10 +253,22 @@
 	if len(change.Put)+len(change.Deleted) == 0 {
 		return
 	}
-	list := c.targets.list()
-	c.shared.update(func(b *dispatch.Board) { b.SetTargets(now, list) })
-	c.client.Keep(list)
-	c.metrics.targets.Update(int64(len(list)))
+	put, gone := c.targets.change()
+	c.shared.update(func(b *dispatch.Board) { b.ChangeTargets(now, put, gone) })
+	c.client.Drop(gone)
+	c.metrics.targets.Update(int64(len(c.targets.inUse)))
+	c.logTargets(change)
+	if c.lead != nil {
+		c.lead.targetsChanged(now, put, gone, change)
+	}
+}
+
+func (c *control) logTargets(change *targetNews) {
+	if len(change.Put)+len(change.Deleted) >= manyChanges {
+		c.log.Info().Str("event", "targets.changed").Int("changed", len(change.Put)).Int("removed", len(change.Deleted)).
+			Int("targets", len(c.targets.byName)).Uint64("store_version", uint64(change.Version)).Send()
+		return
+	}
 	for name, t := range change.Put {
 		c.log.Info().Str("event", "target.changed").Str("target", name).Str("service", t.Service).Str("address", t.Address).
 			Bool("draining", t.Draining).Int64("incarnation", t.Incarnation).Uint64("store_version", uint64(change.Version)).Send()
@@ -258,9 +276,6 @@
 	for _, name := range change.Deleted {
 		c.log.Info().Str("event", "target.removed").Str("target", name).Uint64("store_version", uint64(change.Version)).Send()
 	}
-	if c.lead != nil {
-		c.lead.targetsChanged(now, list, change)
-	}
 }
 
 // ownersChanged puts the owners of services into force.
@@ -277,6 +292,7 @@
 
 func (c *control) setInstances(n int) {
 	c.shared.instances.Store(int64(max(n, 1)))
+	c.elector.SetInstances(n)
 	c.shared.mu.Lock()
 	c.shared.board.SetSlack(c.slack / float64(max(n, 1)))
 	c.shared.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,10 +10,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,7 +28,9 @@
 	"github.com/boragegate/boragegate/internal/ingress"
 	"github.com/boragegate/boragegate/internal/logging"
 	"github.com/boragegate/boragegate/internal/metrics"
+	"github.com/boragegate/boragegate/internal/socket"
 	"github.com/boragegate/boragegate/internal/upstream"
+	"github.com/boragegate/boragegate/ownership/election"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/routing"
 )
@@ -50,6 +54,9 @@
 	// descriptorReserve is the number of descriptors that callers' connections leave
 	// free, for targets, other instances, the store and files.
 	descriptorReserve = 800
+	// applyMargin is the time that an instance without a leader needs to read a change
+	// from the store and to put it into force, with the spread of those that do.
+	applyMargin = 600 * time.Millisecond
 	// reloadInterval is the pace at which the settings are read again: they may
 	// change without a signal.
 	reloadInterval = 2 * time.Second
@@ -107,12 +114,23 @@
 		self: rangelease.Leader{
 			ID: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.PeerAddress, Strength: strength(s),
 		},
-		slack: float64(s.Retries.Slack), maxHold: s.MaxHold, events: make(chan func(), 256),
+		slack: float64(s.Retries.Slack), maxHold: s.MaxHold, events: make(chan func(), 256), urgent: make(chan func(), 64),
 		targets: newTargetList(), owners: map[string][]routing.Owner{}, follows: map[string]context.CancelFunc{},
 	}
+	i.control.elector = election.New(electionOptions(s), socket.BootTime(), i.control.self, s.Seeds, rand.Float64)
 	return i, nil
 }
 
+// electionOptions are the defaults with the platform's bound for changes.
+func electionOptions(s *deployment.Settings) election.Options {
+	o := election.DefaultOptions
+	if s.ApplyWithin > 0 {
+		o.FollowAfter = max(s.ApplyWithin-applyMargin, applyMargin)
+		o.CandidateFollow = min(o.CandidateFollow, o.FollowAfter)
+	}
+	return o
+}
+
 // maxConnections is this instance's share of the connections that a target
 // takes. Instances have uneven shares of the callers, so it is twice the even one.
 func (i *Instance) maxConnections(service string) int {
@@ -247,7 +265,7 @@
 		switch {
 		case err != nil:
 			i.log.Warn().Str("event", "settings.unreadable").Bool("signalled", signalled).Err(err).Send()
-		case *s != current:
+		case !reflect.DeepEqual(*s, current):
 			current = *s
 			i.gracePeriod.Store(int64(s.GracePeriod))
 			slack := float64(s.Retries.Slack)
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -3,21 +3,31 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/boragegate/boragegate/internal/deployment"
 	"github.com/boragegate/boragegate/internal/socket"
+	"github.com/boragegate/boragegate/ownership/election"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/store"
 )
 
-// leaderHealthy reports whether the leader is alive and reaches the store.
-func (c *control) leaderHealthy(now time.Duration) bool {
-	return c.link != nil && c.newsAt > 0 && now-c.newsAt < newsFresh && now-c.leaderAt < storeStale && !c.leaderLost
+// view is what the elector has to know.
+func (c *control) view(now time.Duration) election.View {
+	v := election.View{
+		NewsAt: c.newsAt, LeaderStoreAt: c.leaderAt, Refused: c.refused, LeaderLost: c.leaderLost,
+		RecordKnown: c.recordKnown, ReachesStore: c.reachesStore(now),
+	}
+	if c.link == nil {
+		v.NewsAt = 0
+	}
+	if c.record != nil {
+		v.Leader = c.record.Leader
+	}
+	return v
 }
 
-// elect takes over if there is no leader.
+// elect does what is due while there is no leader, or one in doubt.
 func (c *control) elect(now time.Duration) {
 	if c.lead != nil {
 		if c.lead.granter.StoreAge(now) > rangelease.DefaultOptions.Blind {
@@ -25,38 +35,34 @@
 		}
 		return
 	}
-	if c.leaderHealthy(now) {
-		if c.suspect > 0 {
+	doubted := c.elector.Doubts()
+	d := c.elector.Tick(now, c.view(now))
+	if d.Healthy {
+		if doubted {
 			c.log.Info().Str("event", "leader.heard").Str("leader", c.leaderID()).Uint64("term", c.term).Send()
 		}
-		c.suspect, c.heardAt = 0, c.newsAt
 		for kind := range c.follows {
 			c.stopFollow(kind)
 		}
 		return
 	}
-	c.startFollow(ownershipKind)
-	if c.leaderLost && c.reachesStore(now) || now-c.heardAt > ownFollowAfter {
-		c.followChanges()
+	if d.Doubted && c.record != nil {
+		c.log.Warn().Str("event", "leader.doubted").Str("leader", c.leaderID()).Uint64("term", c.term).
+			Bool("refused", c.refused).Bool("store_lost", c.leaderLost).
+			Dur("news_age_ms", age(now, c.newsAt)).Dur("leader_store_age_ms", age(now, c.leaderAt)).Send()
 	}
-	if !c.recordKnown || c.stopping {
-		return
+	if d.FollowRecord {
+		c.startFollow(ownershipKind)
 	}
-	if c.suspect == 0 {
-		c.suspect = now
-		c.spread = rand.N(takeOverSpread) //nolint:gosec // not a secret
-		if c.record != nil {
-			c.log.Warn().Str("event", "leader.doubted").Str("leader", c.leaderID()).Uint64("term", c.term).
-				Bool("refused", c.refused).Dur("news_age_ms", age(now, c.newsAt)).Dur("leader_store_age_ms", age(now, c.leaderAt)).Send()
-		}
+	if d.FollowChanges {
+		c.followChanges()
 	}
-	if c.taking || !c.reachesStore(now) || now < c.suspect+c.patience()+c.spread {
-		return
+	if d.Ask != "" {
+		c.t.Go(func() error { c.askWho(d.Ask); return nil })
 	}
-	if c.lostLead > 0 && now-c.lostLead < deposedPatience && !c.refused {
-		return
+	if d.TakeOver && !c.taking && !c.stopping {
+		c.takeOver()
 	}
-	c.takeOver()
 }
 
 // reachesStore reports whether the store has answered this instance lately.
@@ -72,24 +78,6 @@
 	return now - at
 }
 
-// patience is the time between the first doubt and the take-over.
-func (c *control) patience() time.Duration {
-	if c.record == nil {
-		return time.Duration((1 - min(c.self.Strength, 1)) * float64(firstPatience))
-	}
-	if c.record.Leader.ID == c.self.ID {
-		return 0
-	}
-	patience := newsFresh
-	if c.refused || c.leaderLost {
-		patience = refusedPatience
-	}
-	if c.self.Strength < strongEnough*c.record.Leader.Strength {
-		patience += weakPatience
-	}
-	return patience
-}
-
 // strength is the instance's processor time in cores, or less if its link is slow.
 func strength(s *deployment.Settings) float64 {
 	v := 1.0
@@ -132,7 +120,7 @@
 			write = c.store.Create
 		}
 		got, err := write(c.t.Context(context.Background()), object)
-		c.post(func() { c.takeOverDone(sent, next, got, err) })
+		c.postUrgent(func() { c.takeOverDone(sent, next, got, err) })
 		return nil
 	})
 }
@@ -141,7 +129,7 @@
 	c.taking = false
 	if err != nil {
 		c.log.Info().Str("event", "leader.take_over_failed").Uint64("term", next.Term).Err(err).Send()
-		c.suspect = 0
+		c.elector.Restart()
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrExists) {
 			c.storeLost(socket.BootTime(), err)
 			return
@@ -158,7 +146,7 @@
 	c.t.Go(func() error {
 		sent := socket.BootTime()
 		got, err := c.store.Get(ctx, ownershipKind, ownershipName)
-		c.post(func() {
+		c.postUrgent(func() {
 			if err != nil {
 				c.storeLost(socket.BootTime(), err)
 				return
@@ -185,7 +173,7 @@
 		c.link.cancel()
 		c.link = nil
 	}
-	c.suspect = 0
+	c.elector.Restart()
 	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Send()
 	c.leading.Store(true)
 	c.lead = newLeadership(c, sent, r, version, before)
@@ -211,7 +199,7 @@
 	c.lead.close()
 	c.lead = nil
 	c.leading.Store(false)
-	c.lostLead = socket.BootTime()
+	c.elector.Deposed(socket.BootTime())
 }
 
 // recordSeen takes the record as the store has it.
@@ -245,9 +233,11 @@
 func (c *control) newLeader(r *rangelease.Record) {
 	c.record, c.term = r, max(c.term, r.Term)
 	if c.lead != nil {
+		c.lead.announce(leads{Term: r.Term, Leader: r.Leader})
 		c.stepDown("another instance leads")
 	}
-	c.suspect, c.newsAt, c.leaderAt, c.refused, c.leaderLost = 0, 0, 0, false, false
+	c.elector.Restart()
+	c.newsAt, c.leaderAt, c.refused, c.leaderLost = 0, 0, false, false
 	c.leaderEnded, c.leaderLeftAt = false, 0
 	c.log.Info().Str("event", "leader.seen").Str("leader", r.Leader.ID).Uint64("term", r.Term).Send()
 	c.dialLeader()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -18,8 +18,13 @@
 	// pollWait is the longest wait of one poll. A connection that went silent is
 	// noticed soon after it, well within the time in which a change must be in force.
 	pollWait = 800 * time.Millisecond
+	// changesPollWait is that of instances that do not lead, for configuration and
+	// targets: many of them may follow these at the same time.
+	changesPollWait = 2 * time.Second
 	// pollPause is the time after a poll with changes in which others gather.
 	pollPause = 30 * time.Millisecond
+	// changesPollPause is that of instances that do not lead.
+	changesPollPause = 150 * time.Millisecond
 	// storeRetry is the time between calls while the store does not answer.
 	storeRetry = 300 * time.Millisecond
 	// probersPerRetry is the number of followers that may try the store in each
@@ -67,7 +72,11 @@
 			c.followed(ctx, func(now time.Duration) { c.listed(now, sent, kind, objects, version) })
 			continue
 		}
-		events, version, err := c.store.Poll(ctx, kind, at, pollWait)
+		waitTime, pause := pollWait, pollPause
+		if kind != ownershipKind && !c.leading.Load() {
+			waitTime, pause = changesPollWait, changesPollPause
+		}
+		events, version, err := c.store.Poll(ctx, kind, at, waitTime)
 		switch {
 		case errors.Is(err, store.ErrTooOld):
 			at = 0
@@ -80,7 +89,7 @@
 			at = version
 			c.followed(ctx, func(now time.Duration) { c.polled(now, sent, kind, events, version) })
 			if len(events) > 0 {
-				wait.For(pollPause, ctx.Done())
+				wait.For(pause, ctx.Done())
 			}
 		}
 	}
@@ -88,7 +97,7 @@
 
 // followed posts what an answer of the store changes, unless its kind is no longer followed.
 func (c *control) followed(ctx context.Context, take func(now time.Duration)) {
-	c.post(func() {
+	c.postUrgent(func() {
 		now := socket.BootTime()
 		c.storeAnswered(now)
 		if ctx.Err() == nil {
@@ -97,27 +106,37 @@
 	})
 }
 
-// followFailed waits until the store may be tried again. Only the record of
-// ownership is tried meanwhile; the other kinds wait until the store has answered.
+// followFailed waits until the store may be tried again. Instances that follow the
+// record of ownership try only that one; the other kinds wait for its answer.
 func (c *control) followFailed(ctx context.Context, kind string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	back := make(chan (<-chan struct{}), 1)
-	c.post(func() {
+	probe := kind == ownershipKind
+	c.postUrgent(func() {
 		c.storeLost(socket.BootTime(), err)
+		if c.follows[ownershipKind] == nil {
+			back <- nil
+			return
+		}
 		back <- c.storeBack
 	})
-	if kind == ownershipKind {
+	var answered <-chan struct{}
+	if !probe {
+		select {
+		case answered = <-back:
+		case <-ctx.Done():
+			return
+		}
+		probe = answered == nil
+	}
+	if probe {
 		wait.For(c.retryPause(), ctx.Done())
 		return
 	}
 	select {
-	case answered := <-back:
-		select {
-		case <-answered:
-		case <-ctx.Done():
-		}
+	case <-answered:
 	case <-ctx.Done():
 	}
 }
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -4,11 +4,16 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/boragegate/boragegate/internal/socket"
 	"github.com/boragegate/boragegate/internal/wait"
+	"github.com/boragegate/boragegate/ownership/election"
+	"github.com/boragegate/boragegate/ownership/rangelease"
+	"github.com/boragegate/boragegate/store"
 )
 
 const (
@@ -21,6 +26,8 @@
 	loadTimeout = 5 * time.Second
 	// recallInterval is the time between two attempts to reach lost followers.
 	recallInterval = 700 * time.Millisecond
+	// rememberTime is the time for which a new leader keeps the candidates of the one before.
+	rememberTime = 10 * time.Second
 	// recallTime is the time for which they are tried: an instance is back within
 	// seconds of its end, or does not come back.
 	recallTime = 15 * time.Second
@@ -28,13 +35,13 @@
 
 // follower is the leader's side of a link.
 type follower struct {
-	name     string
-	address  string
-	strength float64
-	joined   time.Duration
-	conn     net.Conn
-	out      chan []byte
-	done     context.CancelFunc
+	rangelease.Leader
+	// config is the store's version of the configuration that it has.
+	config store.Version
+	joined time.Duration
+	conn   net.Conn
+	out    chan []byte
+	done   context.CancelFunc
 }
 
 // lostFollower is an instance whose link has ended.
@@ -43,9 +50,15 @@
 	until   time.Duration
 }
 
+// close ends the link when what is queued has been written, or at once if the follower
+// does not read.
 func (f *follower) close() {
-	f.done()
-	_ = f.conn.Close()
+	select {
+	case f.out <- nil:
+	default:
+		f.done()
+		_ = f.conn.Close()
+	}
 }
 
 // acceptFollowers serves links until the listener closes. It runs on its own goroutine.
@@ -69,17 +82,24 @@
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	var h hello
 	var l leads
-	kind, err := readFrame(r, map[byte]any{kindHello: &h, kindLeads: &l})
-	if err != nil {
+	var q ask
+	kind, err := readFrame(r, map[byte]any{kindHello: &h, kindLeads: &l, kindAsk: &q})
+	switch {
+	case err != nil:
 		return
-	}
-	if kind == kindLeads {
+	case kind == kindLeads:
 		c.post(func() { c.toldLeader(&l) })
 		return
+	case kind == kindAsk:
+		c.answerAsk(conn, &q)
+		return
 	}
 	ctx, cancel := context.WithCancel(c.t.Context(context.Background()))
 	defer cancel()
-	f := &follower{name: h.Instance, address: h.Address, strength: h.Strength, joined: socket.BootTime(), conn: conn, out: make(chan []byte, linkQueue), done: cancel}
+	f := &follower{
+		Leader: rangelease.Leader{ID: h.Instance, Incarnation: h.Incarnation, Address: h.Address, Strength: h.Strength},
+		config: h.Config, joined: socket.BootTime(), conn: conn, out: make(chan []byte, linkQueue), done: cancel,
+	}
 	c.post(func() { c.addFollower(f) })
 	defer c.post(func() {
 		if c.lead != nil {
@@ -101,32 +121,106 @@
 	}
 }
 
-// addFollower gives a follower everything, or sends it away.
+// addFollower takes a follower, or tells it who leads.
 func (c *control) addFollower(f *follower) {
-	if c.lead == nil {
-		if frame, err := encodeFrame(kindNotLeader, struct{}{}); err == nil {
-			f.out <- frame
-		}
+	if c.lead != nil {
+		c.lead.joining[f] = struct{}{}
+		c.lead.admit(socket.BootTime())
 		return
 	}
-	l := c.lead
-	l.followers[f] = struct{}{}
-	delete(l.lost, f.name)
-	n := news{Config: l.config, Owners: map[string]*ownersNews{}}
-	if c.targets.version > 0 {
-		n.Targets = &targetNews{Version: c.targets.version, Whole: true, Put: c.targets.byName}
+	kind, answer := kindNotLeader, any(struct{}{})
+	if l := c.knownLeader(0); l != nil {
+		kind, answer = kindLeads, l
 	}
-	for service, owners := range c.owners {
+	frame, err := encodeFrame(kind, answer)
+	if err != nil {
+		c.log.Error().Str("event", "leads.encode").Err(err).Send()
+		return
+	}
+	f.out <- frame
+}
+
+// admit tells new followers everything. Those that come close together get the same
+// frames: a leader of hundreds would need its memory for copies, and seconds.
+func (l *leadership) admit(now time.Duration) {
+	if len(l.joining) == 0 || now-l.admittedAt < time.Duration(len(l.followers))*publishPerFollower {
+		return
+	}
+	l.admittedAt = now
+	l.publishNow(now) // what is not told yet would come twice
+	n := news{Leader: &l.c.self, Candidates: l.candidates, Owners: map[string]*ownersNews{}, Pressure: &pressureNews{l.pressed}}
+	if l.c.targets.version > 0 {
+		n.Targets = &targetNews{Version: l.c.targets.version, Whole: true, Put: l.c.targets.byName}
+	}
+	for service, owners := range l.c.owners {
 		n.Owners[service] = encodeOwners(owners, true)
 	}
-	c.log.Info().Str("event", "follower.joined").Str("instance", f.name).Int("followers", len(l.followers)).Send()
-	l.send(n, f)
+	var all, known []*follower
+	for f := range l.joining {
+		if l.config == nil || f.config == l.config.Version {
+			known = append(known, f)
+		} else {
+			all = append(all, f)
+		}
+	}
+	for f := range l.joining {
+		l.followers[f] = struct{}{}
+		delete(l.joining, f)
+		delete(l.lost, f.ID)
+		l.c.log.Info().Str("event", "follower.joined").Str("instance", f.ID).Int("followers", len(l.followers)).Send()
+	}
+	l.send(n, known...)
+	n.Config = l.config
+	l.send(n, all...)
 }
 
 func (l *leadership) broadcast(n news) {
 	l.send(n, l.all()...)
 }
 
+// announce tells the followers of another leader.
+func (l *leadership) announce(message leads) {
+	frame, err := encodeFrame(kindLeads, message)
+	if err != nil {
+		l.c.log.Error().Str("event", "leads.encode").Err(err).Send()
+		return
+	}
+	for _, f := range append(l.all(), l.waiting()...) {
+		select {
+		case f.out <- frame:
+		default: // it does not read, and its link ends
+		}
+	}
+}
+
+// waiting are the followers that have not been told anything yet.
+func (l *leadership) waiting() []*follower { return slices.Collect(maps.Keys(l.joining)) }
+
+// newCandidates returns the candidates if they are not those that were told last. A
+// new leader keeps those of the one before until its followers have come.
+func (l *leadership) newCandidates(now time.Duration) []rangelease.Leader {
+	var known []rangelease.Leader
+	ids := map[string]bool{}
+	for f := range l.followers {
+		known = append(known, f.Leader)
+		ids[f.ID] = true
+	}
+	if now-l.began < rememberTime {
+		for _, c := range l.c.elector.Candidates() {
+			if !ids[c.ID] {
+				known = append(known, c)
+			}
+		}
+	}
+	list := election.Rank(l.c.self, known)
+	if len(list) < 2 || slices.Equal(list, l.candidates) {
+		return nil
+	}
+	l.candidates = list
+	l.c.elector.SetCandidates(list)
+	return list
+}
+
 func (l *leadership) all() []*follower {
 	list := make([]*follower, 0, len(l.followers))
 	for f := range l.followers {
@@ -138,12 +232,15 @@
 // send queues news for followers. One that does not read is cut off, so that it
 // gets everything anew.
 func (l *leadership) send(n news, to ...*follower) {
+	if len(to) == 0 {
+		return
+	}
 	n.Term, n.Instances = l.granter.Term(), len(l.followers)+1
 	n.StoreLost = l.c.storeFailed > 0
 	now := socket.BootTime()
 	n.Left = l.granter.Left(now, newsAhead)
 	n.StoreAge = max(l.granter.StoreAge(now), 0)
-	frame, err := encodeFrame(kindNews, n)
+	frame, err := encodeNews(&n)
 	if err != nil {
 		l.c.log.Error().Str("event", "news.encode").Err(err).Send()
 		return
@@ -152,7 +249,7 @@
 		select {
 		case f.out <- frame:
 		default:
-			l.c.log.Warn().Str("event", "follower.slow").Str("instance", f.name).Send()
+			l.c.log.Warn().Str("event", "follower.slow").Str("instance", f.ID).Send()
 			l.lostFollower(now, f)
 			f.close()
 		}
@@ -161,12 +258,14 @@
 
 // lostFollower notes that a link has ended.
 func (l *leadership) lostFollower(now time.Duration, f *follower) {
-	if _, ok := l.followers[f]; !ok {
+	_, joining := l.joining[f]
+	if _, ok := l.followers[f]; !ok && !joining {
 		return
 	}
 	delete(l.followers, f)
-	if f.address != "" {
-		l.lost[f.name] = lostFollower{address: f.address, until: now + recallTime}
+	delete(l.joining, f)
+	if f.Address != "" {
+		l.lost[f.ID] = lostFollower{address: f.Address, until: now + recallTime}
 	}
 }
 
@@ -193,15 +292,15 @@
 // resign names the strongest of the followers as successor.
 func (l *leadership) resign() {
 	if f := l.strongest(); f != nil {
-		l.c.log.Info().Str("event", "leader.resigns").Str("successor", f.name).Float64("strength", f.strength).Send()
-		l.broadcast(news{Successor: f.name})
+		l.c.log.Info().Str("event", "leader.resigns").Str("successor", f.ID).Float64("strength", f.Strength).Send()
+		l.broadcast(news{Successor: f.ID})
 	}
 }
 
 func (l *leadership) strongest() *follower {
 	var best *follower
 	for f := range l.followers {
-		if best == nil || f.strength > best.strength {
+		if best == nil || f.Strength > best.Strength {
 			best = f
 		}
 	}
@@ -214,7 +313,7 @@
 	if f == nil || l.c.storeFailed > 0 || now-l.resignedAt < yieldInterval || now-f.joined < yieldInterval {
 		return
 	}
-	if l.c.self.Strength < strongEnough*f.strength {
+	if l.c.self.Strength < election.StrongEnough*f.Strength {
 		l.resignedAt = now
 		l.resign()
 	}
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -18,6 +18,9 @@
 const (
 	// planInterval is the pace at which load is compared.
 	planInterval = 150 * time.Millisecond
+	// planPerTarget times the number of targets is the shortest time between two plans:
+	// one takes a twentieth of it.
+	planPerTarget = 60 * time.Microsecond
 	// loadLogInterval is the pace of log lines on load while nothing moves.
 	loadLogInterval = time.Second
 	// releaseTimeout is the time for which a target may finish its work on released keys.
@@ -64,8 +67,16 @@
 	pressed     []dispatch.Pressure
 	loggedAt    time.Duration
 
-	config      *configNews // the configuration in force, nil if there is none
-	followers   map[*follower]struct{}
+	config    *configNews // the configuration in force, nil if there is none
+	followers map[*follower]struct{}
+	// joining are linked and have not been told anything yet.
+	joining    map[*follower]struct{}
+	admittedAt time.Duration
+	// changes and pressureNews are told with the next news.
+	changes     *targetNews
+	pressure    *pressureNews
+	candidates  []rangelease.Leader // as they were told last
+	began       time.Duration
 	lost        map[string]lostFollower // by instance
 	recalledAt  time.Duration
 	beatAt      time.Duration
@@ -79,8 +90,8 @@
 		c: c, ctx: ctx, cancel: cancel, version: version,
 		granter: rangelease.New(grantOptions(c), sent, socket.BootTime(), r, before),
 		rates:   map[string]*keyrange.Rates{}, serviceTime: map[routing.Lifetime]time.Duration{},
-		coldUntil: map[routing.Lifetime]time.Duration{}, followers: map[*follower]struct{}{},
-		lost: map[string]lostFollower{},
+		coldUntil: map[routing.Lifetime]time.Duration{}, followers: map[*follower]struct{}{}, joining: map[*follower]struct{}{},
+		lost: map[string]lostFollower{}, began: socket.BootTime(),
 	}
 	l.granter.OnMove(func(service string, s routing.Span, from, to routing.Lifetime, why string) {
 		c.metrics.moves.Inc(1)
@@ -109,7 +120,7 @@
 
 func (l *leadership) close() {
 	l.cancel()
-	for f := range l.followers {
+	for _, f := range append(l.all(), l.waiting()...) {
 		f.close()
 	}
 }
@@ -125,34 +136,43 @@
 	l.broadcast(news{Config: n})
 }
 
-func (l *leadership) targetsChanged(now time.Duration, list []routing.Target, change *targetNews) {
-	l.granter.SetTargets(list)
-	for _, t := range change.Put {
-		l.coldUntil[t.Lifetime()] = now + t.WarmUp
+func (l *leadership) targetsChanged(now time.Duration, put []routing.Target, gone []routing.Lifetime, change *targetNews) {
+	l.granter.ChangeTargets(put, gone)
+	for i := range put {
+		l.coldUntil[put[i].Lifetime()] = now + put[i].WarmUp
 	}
 	l.planNow, l.joinedAt = true, now
-	l.broadcast(news{Targets: change})
+	l.changes = l.changes.with(change)
+	l.publish(now)
 }
 
-// tick plans, sends what is due and tells the followers.
-func (l *leadership) tick(now time.Duration) {
+// checkSuspended makes sure that nothing is sent after the process was suspended
+// until the store has confirmed the term.
+func (l *leadership) checkSuspended(now time.Duration) {
 	if l.tickedAt > 0 && now-l.tickedAt > suspendedAfter {
 		l.c.log.Warn().Str("event", "leader.suspended").Dur("for_ms", now-l.tickedAt).Send()
 		l.granter.Distrust(now)
 		l.checkRecord()
+		l.tickedAt = now
 	}
+}
+
+// tick plans, sends what is due and tells the followers.
+func (l *leadership) tick(now time.Duration) {
+	l.checkSuspended(now)
 	l.tickedAt = now
 	if l.granter.TakeFenced() {
 		l.c.log.Warn().Str("event", "leader.fenced").Uint64("term", l.granter.Term()).Send()
 		l.checkRecord()
 	}
-	if now-l.plannedAt >= planInterval || l.planNow {
+	if now-l.plannedAt >= planInterval || l.planNow && now-l.plannedAt >= time.Duration(len(l.c.targets.inUse))*planPerTarget {
 		l.plan(now)
 	}
 	l.advance(now)
+	l.admit(now)
 	if now-l.beatAt >= heartbeatInterval {
 		l.beatAt = now
-		l.broadcast(news{})
+		l.broadcast(news{Candidates: l.newCandidates(now)})
 		l.c.setInstances(len(l.followers) + 1)
 		l.yield(now)
 		l.recall(now)
@@ -227,7 +247,7 @@
 		if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrOutcomeUnknown) {
 			got, err = l.readBack(object, err)
 		}
-		c.post(func() { l.stored(sent, got, err) })
+		c.postUrgent(func() { l.stored(sent, got, err) })
 		return nil
 	})
 }
@@ -277,14 +297,22 @@
 // checkRecord reads the record, because a target has seen a later term.
 func (l *leadership) checkRecord() { l.c.readRecord(l.ctx, func() {}) }
 
-// publish puts changed owners into force here and at the followers. Changes that
-// come close together are told together.
+// publish puts changed owners into force here, and tells the followers what has
+// changed. Changes that come close together are told together.
 func (l *leadership) publish(now lease.Instant) {
+	if now-l.publishedAt >= time.Duration(len(l.followers))*publishPerFollower {
+		l.publishNow(now)
+	}
+}
+
+func (l *leadership) publishNow(now lease.Instant) {
 	config := l.c.shared.config.Load()
-	if config == nil || now-l.publishedAt < time.Duration(len(l.followers))*publishPerFollower {
+	if config == nil {
 		return
 	}
 	l.publishedAt = now
+	n := news{Targets: l.changes, Pressure: l.pressure}
+	l.changes, l.pressure = nil, nil
 	changed, out := map[string][]routing.Owner{}, map[string]*ownersNews{}
 	for _, service := range config.Partitioned() {
 		owners, before := l.granter.Owners(now, service), l.c.owners[service]
@@ -293,9 +321,11 @@
 			out[service] = encodeOwners(news, false)
 		}
 	}
-	if len(changed) == 0 {
-		return
+	if len(changed) > 0 {
+		l.c.ownersChanged(changed)
+		n.Owners = out
+	}
+	if len(changed) > 0 || n.Targets != nil || n.Pressure != nil {
+		l.broadcast(n)
 	}
-	l.c.ownersChanged(changed)
-	l.broadcast(news{Owners: out})
 }
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -4,14 +4,17 @@
 	"bufio"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"time"
 
 	"github.com/boragegate/boragegate/internal/socket"
 	"github.com/boragegate/boragegate/internal/wait"
+	"github.com/boragegate/boragegate/ownership/election"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/routing"
+	"github.com/boragegate/boragegate/store"
 )
 
 const (
@@ -19,6 +22,9 @@
 	linkDialTimeout = 400 * time.Millisecond
 	// linkRetry is the time between attempts to reach the leader.
 	linkRetry = 150 * time.Millisecond
+	// longestLinkRetry bounds that time, which grows with each attempt: hundreds of
+	// instances may try the same address.
+	longestLinkRetry = 600 * time.Millisecond
 	// linkWriteTimeout ends a link whose other side does not read.
 	linkWriteTimeout = time.Second
 	// reportersPerInterval is the number of followers that may report their load in
@@ -51,12 +57,16 @@
 
 // keepLink connects again and again until the context ends. It runs on its own goroutine.
 func (c *control) keepLink(ctx context.Context, l *link) {
-	dialer := net.Dialer{Timeout: linkDialTimeout, Control: socket.UnacknowledgedLimit(newsFresh)}
+	dialer := net.Dialer{Timeout: linkDialTimeout, Control: socket.UnacknowledgedLimit(election.DefaultOptions.NewsFresh)}
+	retry := linkRetry
 	for ctx.Err() == nil {
 		conn, err := dialer.DialContext(ctx, "tcp", l.leader.Address)
 		if err == nil {
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-			err = c.readLink(ctx, l, conn)
+			began := time.Now()
+			if err = c.readLink(ctx, l, conn); time.Since(began) > longestLinkRetry {
+				retry = linkRetry
+			}
 			stop()
 			_ = conn.Close()
 		}
@@ -64,14 +74,23 @@
 			return
 		}
 		c.post(func() { c.linkLost(l, err) })
-		wait.For(linkRetry, ctx.Done())
+		wait.For(retry/2+rand.N(retry), ctx.Done()) //nolint:gosec // not a secret
+		retry = min(2*retry, longestLinkRetry)
 	}
 }
 
 var errNotLeader = errors.New("the instance does not lead")
 
 func (c *control) readLink(ctx context.Context, l *link, conn net.Conn) error {
-	frame, err := encodeFrame(kindHello, hello{Instance: c.self.ID, Address: c.self.Address, Strength: c.self.Strength})
+	version := make(chan store.Version, 1)
+	c.post(func() { version <- c.configVersion })
+	h := hello{Instance: c.self.ID, Address: c.self.Address, Strength: c.self.Strength, Incarnation: c.self.Incarnation}
+	select {
+	case h.Config = <-version:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	frame, err := encodeFrame(kindHello, h)
 	if err != nil {
 		return err
 	}
@@ -83,13 +102,18 @@
 	c.t.Go(func() error { sendAll(ctx, conn, l.out); return nil })
 	r := bufio.NewReader(conn)
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(newsFresh))
+		_ = conn.SetReadDeadline(time.Now().Add(election.DefaultOptions.NewsFresh))
 		n := &news{}
-		kind, err := readFrame(r, map[byte]any{kindNews: n, kindNotLeader: nil})
+		other := &leads{}
+		kind, err := readFrame(r, map[byte]any{kindNews: n, kindPackedNews: &packed{n}, kindNotLeader: nil, kindLeads: other})
 		if err != nil {
 			return err
 		}
-		if kind == kindNotLeader {
+		switch kind {
+		case kindLeads:
+			c.post(func() { c.toldLeader(other) })
+			return errNotLeader
+		case kindNotLeader:
 			return errNotLeader
 		}
 		c.post(func() { c.applyNews(l, n) })
@@ -102,12 +126,13 @@
 	return err
 }
 
-// sendAll writes frames until the context ends or the connection fails.
+// sendAll writes frames until the context ends, the connection fails, or a nil frame
+// says that there are no more. It closes the connection in the last two cases.
 func sendAll(ctx context.Context, conn net.Conn, frames <-chan []byte) {
 	for {
 		select {
 		case frame := <-frames:
-			if writeFrame(conn, frame) != nil {
+			if frame == nil || writeFrame(conn, frame) != nil {
 				_ = conn.Close()
 				return
 			}
@@ -141,6 +166,10 @@
 	c.leaderLost, c.leaderEnded = n.StoreLost, false
 	c.leaderLeft, c.leaderLeftAt = n.Left, now
 	c.setInstances(n.Instances)
+	c.elector.SetCandidates(n.Candidates)
+	if n.Leader != nil && c.record != nil {
+		c.record.Leader = *n.Leader
+	}
 	if n.Pressure != nil {
 		c.shared.setPressure(now, n.Pressure.Targets)
 	}
@@ -232,16 +261,12 @@
 	}
 }
 
-// toldLeader follows the leader that says that it leads. Only the store's record
-// has the owners of keys and allows a take-over.
-func (c *control) toldLeader(l *leads) {
-	if l.Term <= c.term {
-		return
-	}
+// adoptLeader follows a leader that is known by message only.
+func (c *control) adoptLeader(term uint64, leader rangelease.Leader) {
 	next := rangelease.Record{}
 	if c.record != nil {
 		next = *c.record
 	}
-	next.Term, next.Leader = l.Term, l.Leader
+	next.Term, next.Leader = term, leader
 	c.newLeader(&next)
 }
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -53,7 +53,7 @@
 	}
 	l.pressed = pressed
 	l.c.shared.setPressure(now, pressed)
-	l.broadcast(news{Pressure: &pressureNews{pressed}})
+	l.pressure = &pressureNews{pressed}
 }
 
 // nobodyHolds reports whether no key has had a holder yet.
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"compress/gzip"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,8 +32,16 @@
 	// kindLeads goes from a leader to the one before it, and to followers that have
 	// lost their link.
 	kindLeads byte = 5
+	// kindAsk is the question who leads. The answer is kindLeads or kindNotLeader.
+	kindAsk byte = 6
+	// kindPackedNews is kindNews, compressed.
+	kindPackedNews byte = 7
 )
 
+// packBytes is the size from which news are compressed: those that a follower gets
+// first have some 200 KB with 1,080 targets.
+const packBytes = 16 << 10
+
 // hello names a follower.
 type hello struct {
 	Instance string `msgpack:"i"`
@@ -38,6 +49,16 @@
 	Address string `msgpack:"a,omitempty"`
 	// Strength is that of rangelease.Leader.
 	Strength float64 `msgpack:"s,omitempty"`
+	// Incarnation names the run of its process.
+	Incarnation int64 `msgpack:"n,omitempty"`
+	// Config is the store's version of the configuration that it has.
+	Config store.Version `msgpack:"c,omitempty"`
+}
+
+// ask is the question who leads.
+type ask struct {
+	// Term is the newest that the instance knows.
+	Term uint64 `msgpack:"t"`
 }
 
 // leads tells an instance who leads, which the store may not be able to tell it.
@@ -57,9 +78,14 @@
 	// Left is what the leader leaves behind if it ends within newsAhead.
 	Left rangelease.Left `msgpack:"f"`
 	// Instances is the number of instances that the leader knows, itself included.
-	Instances int         `msgpack:"m"`
-	Config    *configNews `msgpack:"c,omitempty"`
-	Targets   *targetNews `msgpack:"g,omitempty"`
+	Instances int `msgpack:"m"`
+	// Leader is told to a new follower.
+	Leader *rangelease.Leader `msgpack:"e,omitempty"`
+	// Candidates are the instances that may take over, in their order; nil if they have
+	// not changed.
+	Candidates []rangelease.Leader `msgpack:"k,omitempty"`
+	Config     *configNews         `msgpack:"c,omitempty"`
+	Targets    *targetNews         `msgpack:"g,omitempty"`
 	// Owners has what changed of the owners, by service.
 	Owners map[string]*ownersNews `msgpack:"o,omitempty"`
 	// Pressure has all targets with more requests than they can serve, each time that
@@ -116,6 +142,25 @@
 	Deleted []string                  `msgpack:"d,omitempty"`
 }
 
+// with returns the changes followed by later ones. Either may be nil.
+func (n *targetNews) with(later *targetNews) *targetNews {
+	if n == nil || later.Whole {
+		return later
+	}
+	out := &targetNews{Version: later.Version, Whole: n.Whole, Put: maps.Clone(n.Put)}
+	for _, name := range n.Deleted {
+		if _, ok := later.Put[name]; !ok {
+			out.Deleted = append(out.Deleted, name)
+		}
+	}
+	maps.Copy(out.Put, later.Put)
+	for _, name := range later.Deleted {
+		delete(out.Put, name)
+		out.Deleted = append(out.Deleted, name)
+	}
+	return out
+}
+
 // loadNews is what a follower measured since its last report.
 type loadNews struct {
 	// Keys counts requests by service and key.
@@ -131,6 +176,41 @@
 	return framing.Append(nil, framing.Frame{Kind: kind, Body: body})
 }
 
+// encodeNews encodes news for any number of followers.
+func encodeNews(n *news) ([]byte, error) {
+	body, err := msgpack.Marshal(n)
+	if err != nil {
+		return nil, fmt.Errorf("encode news: %w", err)
+	}
+	if len(body) < packBytes {
+		return framing.Append(nil, framing.Frame{Kind: kindNews, Body: body})
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress news: %w", err)
+	}
+	if _, err := w.Write(body); err != nil {
+		return nil, fmt.Errorf("compress news: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress news: %w", err)
+	}
+	return framing.Append(nil, framing.Frame{Kind: kindPackedNews, Body: b.Bytes()})
+}
+
+// maxNewsBytes bounds news that are decompressed.
+const maxNewsBytes = 16 << 20
+
+// packed decodes compressed news.
+type packed struct{ news *news }
+
+// UnmarshalBinary implements encoding.BinaryUnmarshaler.
+func (p *packed) UnmarshalBinary(b []byte) error {
+	r := flate.NewReader(bytes.NewReader(b))
+	return errors.Join(msgpack.NewDecoder(io.LimitReader(r, maxNewsBytes)).Decode(p.news), r.Close())
+}
+
 // readFrame reads a frame and decodes it into the value for its type.
 func readFrame(r io.Reader, into map[byte]any) (byte, error) {
 	f, err := framing.Read(r, framing.MaxBytes)
@@ -144,5 +224,8 @@
 	if v == nil {
 		return f.Kind, nil
 	}
+	if p, ok := v.(*packed); ok {
+		return f.Kind, p.UnmarshalBinary(f.Body)
+	}
 	return f.Kind, msgpack.Unmarshal(f.Body, v)
 }
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -27,10 +27,84 @@
 	missing map[string]time.Duration
 	// doubtUntil is the end of the time in which missing entries are doubted.
 	doubtUntil time.Duration
+
+	// byAddress has the names of the entries with one address, of which only the
+	// youngest is alive; inUse has that one, and touched the addresses of entries that
+	// have changed since the last call of change.
+	byAddress map[string][]string
+	inUse     map[string]routing.Target
+	touched   map[string]bool
 }
 
 func newTargetList() *targetList {
-	return &targetList{byName: map[string]routing.Target{}, missing: map[string]time.Duration{}}
+	return &targetList{
+		byName: map[string]routing.Target{}, missing: map[string]time.Duration{},
+		byAddress: map[string][]string{}, inUse: map[string]routing.Target{}, touched: map[string]bool{},
+	}
+}
+
+// set adds or replaces an entry.
+func (l *targetList) set(name string, t routing.Target) {
+	old, known := l.byName[name]
+	if known && old.Address != t.Address {
+		l.leave(name, old.Address)
+	}
+	if !known || old.Address != t.Address {
+		l.byAddress[t.Address] = append(l.byAddress[t.Address], name)
+	}
+	l.byName[name] = t
+	l.touched[t.Address] = true
+}
+
+// drop removes an entry.
+func (l *targetList) drop(name string) {
+	if t, known := l.byName[name]; known {
+		l.leave(name, t.Address)
+	}
+	delete(l.byName, name)
+	delete(l.missing, name)
+}
+
+func (l *targetList) leave(name, address string) {
+	l.touched[address] = true
+	names := slices.DeleteFunc(l.byAddress[address], func(n string) bool { return n == name })
+	if l.byAddress[address] = names; len(names) == 0 {
+		delete(l.byAddress, address)
+	}
+}
+
+// change returns what has changed of the targets that are alive since the last call.
+func (l *targetList) change() (put []routing.Target, gone []routing.Lifetime) {
+	for address := range l.touched {
+		before, was := l.inUse[address]
+		after, is := l.youngest(address)
+		if was && (!is || after.Lifetime() != before.Lifetime()) {
+			gone = append(gone, before.Lifetime())
+			delete(l.inUse, address)
+		}
+		if is && (!was || after != before) {
+			put = append(put, after)
+			l.inUse[address] = after
+		}
+	}
+	clear(l.touched)
+	// A target that moved to another address has not gone.
+	gone = slices.DeleteFunc(gone, func(id routing.Lifetime) bool {
+		return slices.ContainsFunc(put, func(t routing.Target) bool { return t.Lifetime() == id })
+	})
+	slices.SortFunc(put, func(a, b routing.Target) int { return cmp.Compare(a.ID, b.ID) })
+	return put, gone
+}
+
+// youngest is the entry of an address that is alive.
+func (l *targetList) youngest(address string) (best routing.Target, ok bool) {
+	for _, name := range l.byAddress[address] {
+		t := l.byName[name]
+		if !ok || t.Incarnation > best.Incarnation || t.Incarnation == best.Incarnation && t.ID > best.ID {
+			best, ok = t, true
+		}
+	}
+	return best, ok
 }
 
 // outageEnded notes that the store answers again.
@@ -40,8 +114,11 @@
 func (l *targetList) put(name string, t routing.Target) bool {
 	delete(l.missing, name)
 	old, known := l.byName[name]
-	l.byName[name] = t
-	return !known || old != t
+	if known && old == t {
+		return false
+	}
+	l.set(name, t)
+	return true
 }
 
 // remove drops an entry, or keeps it for the time being. It reports whether the entry was dropped.
@@ -56,8 +133,7 @@
 		}
 		return false
 	}
-	delete(l.byName, name)
-	delete(l.missing, name)
+	l.drop(name)
 	return true
 }
 
@@ -94,7 +170,7 @@
 	for name := range l.missing {
 		if _, ok := leaders[name]; !ok {
 			names = append(names, name)
-			delete(l.byName, name)
+			l.drop(name)
 		}
 		delete(l.missing, name)
 	}
@@ -107,23 +183,17 @@
 	for name, until := range l.missing {
 		if now >= until {
 			names = append(names, name)
-			delete(l.byName, name)
-			delete(l.missing, name)
+			l.drop(name)
 		}
 	}
 	return names
 }
 
-// list returns the targets in order. Of several entries with one address, only
-// the youngest is alive.
+// list returns the targets that are alive, in order.
 func (l *targetList) list() []routing.Target {
-	youngest := map[string]int64{}
-	for _, t := range l.byName {
-		youngest[t.Address] = max(youngest[t.Address], t.Incarnation)
-	}
-	out := make([]routing.Target, 0, len(l.byName))
-	for _, t := range l.byName {
-		if t.Incarnation == youngest[t.Address] {
+	out := make([]routing.Target, 0, len(l.byAddress))
+	for address := range l.byAddress {
+		if t, ok := l.youngest(address); ok {
 			out = append(out, t)
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -125,11 +125,32 @@
 	}
 }
 
+// Drop closes idle connections to servers that have gone.
+func (c *Client) Drop(gone []routing.Lifetime) {
+	c.mu.Lock()
+	var drop []*conn
+	for _, id := range gone {
+		if p := c.pools[id]; p != nil {
+			p.closed = true
+			drop = append(drop, p.idle...)
+			delete(c.pools, id)
+		}
+	}
+	c.mu.Unlock()
+	for _, cn := range drop {
+		_ = cn.nc.Close()
+	}
+}
+
 // Sweep closes connections that have been idle for too long.
 func (c *Client) Sweep(now time.Time) {
 	c.mu.Lock()
 	var drop []*conn
-	for _, p := range c.pools {
+	for id, p := range c.pools {
+		if p.open == 0 {
+			delete(c.pools, id)
+			continue
+		}
 		kept := p.idle[:0]
 		for _, cn := range p.idle {
 			if now.Before(cn.until) {
