--- a/dispatch/pressure.go
+++ b/dispatch/pressure.go
@@ -60,10 +60,14 @@
 // full notes that a target had no room. All instances together would ask it again
 // sooner than it has served its queue, so each waits for its share of that.
 func (b *Board) full(now time.Duration, t *target) {
-	pause := float64(max(b.instances, 1)) * float64(b.serviceTime(t)) / float64(max(t.Slots, 1))
+	share := time.Duration(float64(b.instances) * float64(b.serviceTime(t)) / float64(max(t.Slots, 1)))
+	if share <= reportHalfLife { // what it reports to this instance says more
+		t.fullUntil, t.queueFull = now+shedPause, false
+		return
+	}
 	b.turn++
-	pause = min(pause, float64(longestFull)) * (0.5 + b.turnOf(b.turn)/2)
-	t.fullUntil, t.queueFull = max(t.fullUntil, now+max(time.Duration(pause), shedPause)), true
+	pause := time.Duration(float64(min(share, longestFull)) * (0.5 + b.turnOf(b.turn)/2))
+	t.fullUntil, t.queueFull = max(t.fullUntil, now+pause), true
 }
 
 // underPressure rejects so many of the requests for a target that the rest is
