--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,6 +47,8 @@
 	// stopMargin is the part of the grace period that is left when the last
 	// requests are given up.
 	stopMargin = 300 * time.Millisecond
+	// closeTime bounds the wait for answers to the requests that came last.
+	closeTime = 200 * time.Millisecond
 	// drainPoll is the pace at which a stopping instance looks for open requests.
 	drainPoll = 20 * time.Millisecond
 	// httpTimeout bounds questions about readiness and metrics.
@@ -303,10 +305,15 @@
 }
 
 func (i *Instance) close() error {
-	i.log.Info().Str("event", "instance.stopped").Int("requests_cut", i.ingress.InFlight()).Send()
+	i.refusing.Store(true)
 	// A closed peer port tells the others that this instance grants nothing any more.
 	i.control.t.Kill(nil)
 	errs := []error{i.caller.Close(), i.peers.Close()}
+	// What was read until now is still answered.
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	i.ingress.Shutdown(ctx)
+	cancel()
+	i.log.Info().Str("event", "instance.stopped").Int("requests_cut", i.ingress.InFlight()).Send()
 	i.ingress.Close()
 	errs = append(errs, i.control.t.Wait())
 	for _, s := range i.servers {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -298,6 +298,17 @@
 	}
 }
 
+// closeIdle closes the connection unless a request has been read and is not answered.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) > 0 || c.writing {
+		return
+	}
+	c.closing = true // a request that is being read now is not begun
+	_ = c.nc.Close()
+}
+
 // shut ends the sending side and wakes the reader, which lingers. If an answer is
 // missing or incomplete, it ends the connection at once.
 func (c *conn) shut(answered bool) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -144,6 +144,28 @@
 	return len(s.conns)
 }
 
+// closePoll is the pace at which Shutdown looks for connections without requests.
+const closePoll = 5 * time.Millisecond
+
+// Shutdown closes each connection as soon as all requests that were read from it are
+// answered, and returns when no connection is left or the context ends. A request
+// that comes meanwhile on such a connection counts as not read.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.draining.Store(true)
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		left := len(s.conns)
+		for c := range s.conns {
+			c.closeIdle()
+		}
+		s.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		time.Sleep(closePoll)
+	}
+}
+
 // Close ends all connections, answered or not, and waits for their goroutines.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,9 +29,11 @@
 	var (
 		server  *ingress.Server
 		address string
-		gone    chan string
-		release chan struct{}
-		idle    atomic.Int64 // idle timeout, as a time.Duration
+		// listener is the server's.
+		listener net.Listener
+		gone     chan string
+		release  chan struct{}
+		idle     atomic.Int64 // idle timeout, as a time.Duration
 	)
 	BeforeEach(func() {
 		ignore := goleak.IgnoreCurrent()
@@ -77,7 +80,7 @@
 		}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		address = l.Addr().String()
+		address, listener = l.Addr().String(), l
 		served := make(chan struct{})
 		go func() { defer close(served); _ = server.Serve(l) }()
 		DeferCleanup(func() { _ = l.Close(); <-served; server.Close() })
@@ -191,6 +194,50 @@
 		Expect(resp.Header.Get("Connection")).NotTo(Equal("X"))
 	})
 
+	It("answers every request that it has begun when it shuts down under load", func() {
+		// Guards against requests that are cut because they came in the moment in which no
+		// other one was open: what the handler has begun has to be answered.
+		var begun, answered atomic.Int64
+		server.Handler = func(context.Context, *ingress.Request) *ingress.Response {
+			begun.Add(1)
+			time.Sleep(time.Millisecond)
+			return &ingress.Response{Status: 200, Header: http.Header{}, Body: []byte("ok")}
+		}
+		var callers sync.WaitGroup
+		for range 16 {
+			callers.Go(func() {
+				for range 400 {
+					c, err := net.Dial("tcp", address)
+					if err != nil {
+						return
+					}
+					r := bufio.NewReader(c)
+					for range 3 {
+						if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+							break
+						}
+						if _, _, err := answer(r); err != nil {
+							break
+						}
+						answered.Add(1)
+					}
+					_ = c.Close()
+				}
+			})
+		}
+		Eventually(begun.Load).Should(BeNumerically(">", 100))
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		server.Shutdown(ctx) // callers go on until the listener closes
+		_ = listener.Close()
+		ctx, cancel = context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		server.Shutdown(ctx)
+		Expect(server.Connections()).To(BeZero())
+		callers.Wait()
+		Expect(answered.Load()).To(Equal(begun.Load()))
+	})
+
 	It("closes connections that stay idle", func() {
 		idle.Store(int64(50 * time.Millisecond))
 		c, r := dial()
--- a/internal/upstream/body_test.go
+++ b/internal/upstream/body_test.go
@@ -33,7 +33,6 @@
 	var (
 		client *upstream.Client
 		target *routing.Target
-		ended  chan error // result of reading each connection to its end
 	)
 	serveWith := func(handle func(c net.Conn, r *bufio.Reader)) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,7 +55,6 @@
 	BeforeEach(func() {
 		ignore := goleak.IgnoreCurrent()
 		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
-		ended = make(chan error, 4)
 		client = &upstream.Client{IDHeader: "X-Id", MaxConnections: func(string) int { return 0 }}
 	})
 	upload := func(ctx context.Context, rest io.ReadCloser) (*upstream.Response, error) {
@@ -70,6 +68,7 @@
 		// Guards against an answer that waits for a caller that stalls, and against another
 		// request where the target waits for the rest of the body.
 		func(status string) {
+			ended := make(chan error, 4) // result of reading each connection to its end
 			serveWith(func(c net.Conn, r *bufio.Reader) {
 				if _, err := http.ReadRequest(r); err != nil {
 					return
@@ -91,10 +90,7 @@
 
 	It("ends with its context while the caller stalls", func() {
 		// Guards against a request that is held beyond its deadline.
-		serveWith(func(_ net.Conn, r *bufio.Reader) {
-			_, err := io.Copy(io.Discard, r)
-			ended <- err
-		})
+		serveWith(func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
 		began := time.Now()
