--- a/dispatch/subset.go
+++ b/dispatch/subset.go
@@ -11,9 +11,9 @@
 	// coverage is the number of instances that use one target as a rule. With fewer
 	// targets for each instance, an instance knows their load from its own requests, and
 	// its connections are used again before they lapse.
-	coverage = 4
+	coverage = 6
 	// leastSubset is the least number of targets of the own zone that an instance uses.
-	leastSubset = 4
+	leastSubset = 6
 	// awayShare is the number of targets of other zones for each one of the own zone.
 	awayShare = 0.5
 	// crowdedShare of the objective is the expected time at all targets of the subset
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -212,6 +212,8 @@
 			}()
 			Eventually(paths, "5s", "1ms").Should(Receive())
 		}
-		Expect(heap() - before).To(BeNumerically("<", 64<<20))
+		after := heap()
+		GinkgoWriter.Printf("%d KB\n", (after-before)>>10)
+		Expect(after - before).To(BeNumerically("<", 64<<20))
 	})
 })
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -78,7 +78,7 @@
 
 // bodyMemory is the memory in bytes for bodies that are read before their requests
 // start. Without room in it, a body is passed on as it comes.
-const bodyMemory = 16 << 20
+const bodyMemory = 8 << 20
 
 // reserve takes memory for a body, if there is room.
 func (s *Server) reserve(n int64) bool {
