--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -35,6 +35,9 @@
 	newsAhead = 1500 * time.Millisecond
 	// sweepInterval is the pace at which idle connections are looked through.
 	sweepInterval = 500 * time.Millisecond
+	// lateTick is the delay of a tick from which it is logged: the goroutine has had more
+	// events than it could handle.
+	lateTick = 100 * time.Millisecond
 	// manyChanges is the number of changed targets from which one line is logged for all.
 	manyChanges = 64
 	// yieldInterval is the time between two attempts to give the lead to a stronger
@@ -66,6 +69,9 @@
 	elector *election.Elector
 	askers  []*asker
 	sweptAt time.Duration
+	// tickedAt is the time of the last tick, handled the number of events since then.
+	tickedAt time.Duration
+	handled  int
 
 	configVersion store.Version
 	configObject  store.Object
@@ -148,6 +154,7 @@
 	if c.lead != nil {
 		c.lead.checkSuspended(socket.BootTime())
 	}
+	c.handled++
 	f()
 }
 
@@ -164,6 +171,7 @@
 }
 
 func (c *control) tick(now time.Duration) {
+	c.noteLag(now)
 	c.targetsChanged(now, &targetNews{Version: c.targets.version, Deleted: c.targets.expire(now)})
 	c.elect(now)
 	c.tellAskers(now)
@@ -178,6 +186,19 @@
 	}
 }
 
+// noteLag measures how late the goroutine is.
+func (c *control) noteLag(now time.Duration) {
+	if c.tickedAt > 0 {
+		lag := max(now-c.tickedAt-tickInterval, 0)
+		c.metrics.lag.Update(lag)
+		if lag > lateTick {
+			c.log.Warn().Str("event", "control.late").Dur("late_ms", lag).Int("events", c.handled).Int("waiting", len(c.events)).
+				Bool("leads", c.lead != nil).Send()
+		}
+	}
+	c.tickedAt, c.handled = now, 0
+}
+
 // ready reports whether requests can be served. It may be called on any goroutine.
 func (c *control) ready() bool {
 	config := c.shared.config.Load()
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -70,10 +70,10 @@
 	return c.storeFailed == 0 && c.storeAt > 0 && now-c.storeAt < storeFresh
 }
 
-// age is the time since then, or -1 if there was no such time.
+// age is the time since then, or -1 ms if there was no such time.
 func age(now, at time.Duration) time.Duration {
 	if at == 0 {
-		return -1
+		return -time.Millisecond
 	}
 	return now - at
 }
@@ -236,7 +236,7 @@
 		c.lead.announce(leads{Term: r.Term, Leader: r.Leader})
 		c.stepDown("another instance leads")
 	}
-	c.elector.Restart()
+	c.elector.Followed(socket.BootTime())
 	c.newsAt, c.leaderAt, c.refused, c.leaderLost = 0, 0, false, false
 	c.leaderEnded, c.leaderLeftAt = false, 0
 	c.log.Info().Str("event", "leader.seen").Str("leader", r.Leader.ID).Uint64("term", r.Term).Send()
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -19,8 +19,8 @@
 	// planInterval is the pace at which load is compared.
 	planInterval = 150 * time.Millisecond
 	// planPerTarget times the number of targets is the shortest time between two plans:
-	// one takes a twentieth of it.
-	planPerTarget = 60 * time.Microsecond
+	// one takes a thirtieth of it.
+	planPerTarget = 200 * time.Microsecond
 	// loadLogInterval is the pace of log lines on load while nothing moves.
 	loadLogInterval = time.Second
 	// releaseTimeout is the time for which a target may finish its work on released keys.
--- a/internal/edge/meters.go
+++ b/internal/edge/meters.go
@@ -17,6 +17,7 @@
 	storeErrors  gometrics.Counter
 	targets      gometrics.Gauge
 	findings     gometrics.Gauge
+	lag          gometrics.Timer
 	moves        gometrics.Counter
 	movedKeys    gometrics.Counter
 	grants       gometrics.Counter
@@ -35,6 +36,7 @@
 		registry:     r,
 		storeErrors:  counter("boragegate_store_errors_total"),
 		targets:      gometrics.NewRegisteredGauge("boragegate_targets", r),
+		lag:          newTimer(r, "boragegate_control_lag_seconds"),
 		findings:     gometrics.NewRegisteredGauge("boragegate_config_findings", r),
 		moves:        counter("boragegate_ownership_moves_total"),
 		movedKeys:    counter("boragegate_ownership_moved_keys_total"),
@@ -48,14 +50,19 @@
 	}
 }
 
+// newTimer returns the timer of the name.
+func newTimer(r gometrics.Registry, name string) gometrics.Timer {
+	return r.GetOrRegister(name, func() gometrics.Timer {
+		return gometrics.NewCustomTimer(gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize)), gometrics.NewMeter())
+	}).(gometrics.Timer)
+}
+
 // answered counts a finished request by the kind of its route and its outcome.
 func (m *meters) answered(kind, outcome string, took time.Duration) {
 	name := metrics.Name("boragegate_requests_total", "kind", kind, "outcome", outcome)
 	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 	name = metrics.Name("boragegate_request_seconds", "kind", kind)
-	m.registry.GetOrRegister(name, func() gometrics.Timer {
-		return gometrics.NewCustomTimer(gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize)), gometrics.NewMeter())
-	}).(gometrics.Timer).Update(took)
+	newTimer(m.registry, name).Update(took)
 }
 
 // attempted counts an attempt at a target by its result.
--- a/ownership/election/election.go
+++ b/ownership/election/election.go
@@ -78,6 +78,8 @@
 	// AskPause is the mean time between two questions of a candidate. Others add
 	// AskPausePerInstance for each instance, up to LongestAskPause in all.
 	AskPause, AskPausePerInstance, LongestAskPause time.Duration
+	// LinkTime is the time within which a leader that is followed anew is heard.
+	LinkTime time.Duration
 	// LinkedPatience is the time after which an instance asks for another leader while
 	// it still hears the one that has lost the store.
 	LinkedPatience time.Duration
@@ -108,6 +110,7 @@
 	AskPausePerInstance: 250 * time.Microsecond,
 	LongestAskPause:     300 * time.Millisecond,
 	ReturnTime:          400 * time.Millisecond,
+	LinkTime:            400 * time.Millisecond, // one attempt to connect
 	LinkedPatience:      time.Second,
 	SelfAfter:           3 * time.Second,
 	SelfPerSecond:       8,
@@ -163,6 +166,7 @@
 	starter    bool
 
 	heardAt   lease.Instant // last news of a healthy leader, or the start
+	linkedBy  lease.Instant // when a leader that is followed anew should have been heard
 	doubtAt   lease.Instant // begin of the doubt, 0 if there is none
 	selfAt    lease.Instant // when this instance makes itself a candidate
 	nominated bool
@@ -203,9 +207,12 @@
 // Candidates returns the candidates in their order.
 func (e *Elector) Candidates() []rangelease.Leader { return e.candidates }
 
-// Restart ends the doubt, because another leader is followed or a take-over failed.
+// Restart ends the doubt, because a take-over succeeded or failed.
 func (e *Elector) Restart() { e.doubtAt = 0 }
 
+// Followed notes that another leader is followed from now on.
+func (e *Elector) Followed(now lease.Instant) { e.doubtAt, e.linkedBy = 0, now+e.o.LinkTime }
+
 // Deposed notes that this instance has lost the lead.
 func (e *Elector) Deposed(now lease.Instant) { e.doubtAt, e.deposedAt = 0, now }
 
@@ -228,6 +235,9 @@
 		e.doubtAt, e.heardAt, e.nominated = 0, v.NewsAt, false
 		return Decision{Healthy: true}
 	}
+	if now < e.linkedBy && v.NewsAt == 0 && !v.Refused && e.doubtAt == 0 {
+		return Decision{}
+	}
 	var d Decision
 	if e.doubtAt == 0 {
 		e.begin(now)
--- a/ownership/rangelease/granter.go
+++ b/ownership/rangelease/granter.go
@@ -52,6 +52,11 @@
 	// writePerSpan times the number of spans is the shortest time between two records:
 	// to encode one takes about a tenth of it.
 	writePerSpan = 30 * time.Microsecond
+	// renewPerSpan times the number of spans is the time between an answered grant and
+	// its renewal where it is above Options.Renew; it is bounded by longestRenew, after
+	// which one renewal may still be lost and repeated before the lease ends.
+	renewPerSpan = 700 * time.Microsecond
+	longestRenew = 1400 * time.Millisecond
 	// doubtAfter is the number of calls without an answer in a row after which a
 	// target gets no grants until it answers a probe.
 	doubtAfter = 2
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -174,6 +174,11 @@
 	return g.out
 }
 
+// renewAfter is the time between an answered grant and its renewal.
+func (g *Granter) renewAfter(service string) time.Duration {
+	return max(g.o.Renew, min(time.Duration(len(g.spans[service]))*renewPerSpan, longestRenew))
+}
+
 // heard notes whether a target answered a call.
 func (g *Granter) heard(now lease.Instant, p *peer, outcome Outcome) {
 	if outcome != Unanswered {
@@ -203,7 +208,7 @@
 			s.inherited, s.until = false, now+g.leaseLength(g.o.OutageHold)
 		}
 		s.confirmed, s.handover = s.sent+s.hold, ""
-		s.due = s.sent + g.o.Renew
+		s.due = s.sent + g.renewAfter(s.service)
 	case Ended:
 		if p := g.peers[s.holder]; p != nil {
 			p.ended = true
