--- a/dispatch/subset.go
+++ b/dispatch/subset.go
@@ -73,7 +73,7 @@
 		}
 	}
 	near = b.highest(near, own)
-	s.list, s.whole = append(near, b.highest(far, own+away-len(near))...), false
+	s.list, s.whole = slices.Concat(near, b.highest(far, own+away-len(near))), false
 	return s
 }
 
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -24,7 +24,7 @@
 var _ = Describe("bytes without end", func() {
 	// play lets a server answer a request with the beginning and then repeat the rest
 	// until its connection is closed. It returns what the client got, and the bytes sent.
-	play := func(beginning, rest string) (*upstream.Response, error, int) {
+	play := func(beginning, rest string) (*upstream.Response, int, error) {
 		ignore := goleak.IgnoreCurrent()
 		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -68,13 +68,13 @@
 		Expect(client.Open()).To(BeZero(), "the connection is closed")
 		var n int
 		Eventually(sent, "2s").Should(Receive(&n))
-		return resp, err, n
+		return resp, n, err
 	}
 	DescribeTable("end the connection and bring no answer",
 		// Guards against a server in trouble that uses up an instance's memory or holds its
 		// requests until their deadlines.
 		func(beginning, rest string) {
-			_, err, sent := play(beginning, rest)
+			_, sent, err := play(beginning, rest)
 			Expect(err).To(HaveOccurred())
 			Expect(sent).To(BeNumerically("<", sentBytes))
 		},
@@ -92,14 +92,14 @@
 	)
 	It("behind a whole answer reach nobody", func() {
 		// Guards against the next request on the connection.
-		resp, err, sent := play("HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 2\n\nok", "more")
+		resp, sent, err := play("HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 2\n\nok", "more")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(resp.Body)).To(Equal("ok"))
 		Expect(sent).To(BeNumerically("<", sentBytes))
 	})
 	DescribeTable("in a body are passed on in pieces, until the caller has had enough",
 		func(head, rest string) {
-			resp, err, sent := play(head, rest)
+			resp, sent, err := play(head, rest)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(len(resp.Body)).To(BeNumerically("<=", 1<<20))
 			Expect(sent).To(BeNumerically("<", sentBytes))
