--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -63,6 +63,9 @@
 	// longestFull bounds the time for which a target counts as full whose queue was. By
 	// then the pressure on it is told.
 	longestFull = 1500 * time.Millisecond
+	// longestHold is the time for which a request is held for its holder, or its objective
+	// if that is longer.
+	longestHold = time.Second
 	// noHolderWait is the usual time until keys without a holder get one.
 	noHolderWait = 250 * time.Millisecond
 )
@@ -278,9 +281,10 @@
 }
 
 // hold lets a request wait for its holder if that is expected soon enough to
-// leave half of the caller's time.
+// leave half of the caller's time. A hand-over may take longer than expected, again
+// and again; then the caller is asked back instead.
 func hold(r *Request, reason string, wait time.Duration) Decision {
-	if wait > r.Left/2 {
+	if wait > r.Left/2 || r.Waited > max(r.Objective, longestHold) {
 		return reject(r, reason, wait, Decision{ReportAge: -1})
 	}
 	return Decision{Verdict: Hold, Reason: reason, RetryAfter: wait, ReportAge: -1}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -269,6 +269,18 @@
 		Entry("keys that come back too late", 65535, "", dispatch.Reject),
 	)
 
+	It("asks a caller back whose key stays on the move", func() {
+		// Guards against requests that are held to their deadlines because a hand-over is
+		// always expected within 0.15 s (large trouble-1: 12,000 callers).
+		b.SetOwners("svc", []routing.Owner{{Span: routing.Span{To: routing.Keys - 1}, Holder: a.Lifetime(), Wait: 150 * time.Millisecond}})
+		r := keyed(1)
+		r.Left, r.Objective = 15*time.Second, 2500*time.Millisecond
+		r.Waited = 2400 * time.Millisecond
+		Expect(b.Choose(0, r).Verdict).To(Equal(dispatch.Hold))
+		r.Waited = 2600 * time.Millisecond
+		Expect(b.Choose(0, r).Verdict).To(Equal(dispatch.Reject))
+	})
+
 	It("rejects at once while the holder of a key is unreachable, and tries it again later", func() {
 		b.SetOwners("svc", []routing.Owner{{Span: routing.Span{To: routing.Keys - 1}, Holder: a.Lifetime(), Ready: true}})
 		for range 3 {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -35,6 +35,9 @@
 	newsAhead = 1500 * time.Millisecond
 	// sweepInterval is the pace at which idle connections are looked through.
 	sweepInterval = 500 * time.Millisecond
+	// configFresh is the time after its last confirmation for which a configuration counts
+	// as recent.
+	configFresh = 2 * time.Second
 	// lateTick is the delay of a tick from which it is logged: the goroutine has had more
 	// events than it could handle.
 	lateTick = 100 * time.Millisecond
@@ -172,6 +175,9 @@
 
 func (c *control) tick(now time.Duration) {
 	c.noteLag(now)
+	if c.confirmed(now) {
+		c.shared.freshUntil.Store(int64(now + configFresh))
+	}
 	c.targetsChanged(now, &targetNews{Version: c.targets.version, Deleted: c.targets.expire(now)})
 	c.elect(now)
 	c.tellAskers(now)
@@ -186,6 +192,15 @@
 	}
 }
 
+// confirmed reports whether what this instance believes is recent: it hears a leader
+// that reaches the store, or follows the configuration in the store itself.
+func (c *control) confirmed(now time.Duration) bool {
+	if c.lead != nil || c.follows[c.configKind()] != nil {
+		return c.storeFailed == 0
+	}
+	return !c.elector.Doubts() && c.newsAt > 0
+}
+
 // noteLag measures how late the goroutine is.
 func (c *control) noteLag(now time.Duration) {
 	if c.tickedAt > 0 {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -76,6 +76,9 @@
 		return f.refuse(nil, r, reasonNoConfig, noConfigRetryAfter)
 	}
 	route := match(config, r.Request)
+	if route == nil && f.shared.stale() {
+		return f.refuse(nil, r, reasonNoConfig, noConfigRetryAfter)
+	}
 	if route == nil {
 		f.decided(nil, r, http.StatusNotFound, reasonNoRoute).Uint64("config_version", config.Version).Send()
 		f.metrics.answered("none", reasonNoRoute, time.Since(r.Arrived))
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -295,6 +295,7 @@
 	l.version = max(l.version, got.Version)
 	l.granter.Confirmed(sent)
 	l.granter.Stored(now, true)
+	l.publishNow(now) // before the holders refuse requests for the keys that they release
 	l.advance(now)
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -14,6 +14,9 @@
 // shared is what the traffic goroutines use of what the control goroutine knows.
 type shared struct {
 	config atomic.Pointer[routing.Config]
+	// freshUntil is the time until which the configuration is known to be recent, as a
+	// time.Duration since the start of the machine; 0 if that is not judged.
+	freshUntil atomic.Int64
 	// instances is the number of instances that share the limits of targets.
 	instances atomic.Int64
 
@@ -32,6 +35,13 @@
 	return s
 }
 
+// stale reports whether the configuration may be out of date: neither a leader nor the
+// store has confirmed it lately. A route that it lacks may exist.
+func (s *shared) stale() bool {
+	until := s.freshUntil.Load()
+	return until > 0 && int64(socket.BootTime()) > until
+}
+
 // update changes the board and wakes the requests that are held.
 func (s *shared) update(f func(b *dispatch.Board)) {
 	s.mu.Lock()
