--- a/dispatch/subset.go
+++ b/dispatch/subset.go
@@ -16,6 +16,9 @@
 	leastSubset = 6
 	// awayShare is the number of targets of other zones for each one of the own zone.
 	awayShare = 0.5
+	// smallService is the number of targets up to which an instance uses all of them: it
+	// meets each often enough.
+	smallService = 24
 	// crowdedShare of the objective is the expected time at all targets of the subset
 	// from which the others are looked at too.
 	crowdedShare = 0.5
@@ -58,7 +61,7 @@
 		own = max((coverage*len(all)+b.instances-1)/b.instances, leastSubset)
 	}
 	away := int(awayShare * float64(own))
-	if own+away >= len(all) {
+	if len(all) <= max(own+away, smallService) {
 		s.list, s.whole = all, true
 		return s
 	}
