--- a/ownership/election/election_test.go
+++ b/ownership/election/election_test.go
@@ -354,7 +354,7 @@
 				fault(f)
 				f.run(tick)
 				took := f.until(10*time.Second, old)
-				GinkgoWriter.Printf(" n=%d took=%s calls=%d most=%d writers=%d followed=%.2f\n", n, took, f.calls, f.mostPerSecond(), len(f.writing), f.followed())
+				GinkgoWriter.Printf("n=%d took=%s calls=%d most=%d writers=%d followed=%.2f\n", n, took, f.calls, f.mostPerSecond(), len(f.writing), f.followed())
 				Expect(took).To(BeNumerically("<", within))
 				Expect(f.leading()).NotTo(BeIdenticalTo(old))
 				Expect(f.mostPerSecond()).To(BeNumerically("<=", bound))
