--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -175,7 +175,7 @@
 
 func (c *control) tick(now time.Duration) {
 	c.noteLag(now)
-	if c.confirmed(now) {
+	if c.confirmed() {
 		c.shared.freshUntil.Store(int64(now + configFresh))
 	}
 	c.targetsChanged(now, &targetNews{Version: c.targets.version, Deleted: c.targets.expire(now)})
@@ -194,7 +194,7 @@
 
 // confirmed reports whether what this instance believes is recent: it hears a leader
 // that reaches the store, or follows the configuration in the store itself.
-func (c *control) confirmed(now time.Duration) bool {
+func (c *control) confirmed() bool {
 	if c.lead != nil || c.follows[c.configKind()] != nil {
 		return c.storeFailed == 0
 	}
