--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -127,7 +127,7 @@
 }
 
 // sendAll writes frames until the context ends, the connection fails, or a nil frame
-// says that there are no more. It closes the connection in the last two cases.
+// says that there are no more. Then it closes the connection.
 func sendAll(ctx context.Context, conn net.Conn, frames <-chan []byte) {
 	for {
 		select {
@@ -137,6 +137,7 @@
 				return
 			}
 		case <-ctx.Done():
+			_ = conn.Close()
 			return
 		}
 	}
