--- a/internal/edge/ask.go
+++ b/internal/edge/ask.go
@@ -64,18 +64,13 @@
 		c.askers = append(c.askers, a)
 		c.tellAskers(now)
 	})
-	var frame []byte
-	var err error
+	var l *leads
 	select {
-	case l := <-a.answer:
-		if l != nil {
-			frame, err = encodeFrame(kindLeads, l)
-		} else {
-			frame, err = encodeFrame(kindNotLeader, struct{}{})
-		}
+	case l = <-a.answer:
 	case <-c.t.Dying():
 		return
 	}
+	frame, err := encodeLeader(l)
 	if err != nil {
 		c.post(func() { c.log.Error().Str("event", "leads.encode").Err(err).Send() })
 		return
@@ -83,6 +78,14 @@
 	_ = writeFrame(conn, frame) // an instance without an answer asks another one
 }
 
+// encodeLeader encodes who leads, or that the instance does not lead if that is nil.
+func encodeLeader(l *leads) ([]byte, error) {
+	if l == nil {
+		return encodeFrame(kindNotLeader, struct{}{})
+	}
+	return encodeFrame(kindLeads, l)
+}
+
 // tellAskers answers the questions whose answer is known or whose time is over.
 func (c *control) tellAskers(now time.Duration) {
 	c.askers = slices.DeleteFunc(c.askers, func(a *asker) bool {
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -26,11 +26,11 @@
 	loadTimeout = 5 * time.Second
 	// recallInterval is the time between two attempts to reach lost followers.
 	recallInterval = 700 * time.Millisecond
-	// rememberTime is the time for which a new leader keeps the candidates of the one before.
-	rememberTime = 10 * time.Second
 	// recallTime is the time for which they are tried: an instance is back within
 	// seconds of its end, or does not come back.
 	recallTime = 15 * time.Second
+	// rememberTime is the time for which a new leader keeps the candidates of the one before.
+	rememberTime = 10 * time.Second
 )
 
 // follower is the leader's side of a link.
@@ -128,11 +128,7 @@
 		c.lead.admit(socket.BootTime())
 		return
 	}
-	kind, answer := kindNotLeader, any(struct{}{})
-	if l := c.knownLeader(0); l != nil {
-		kind, answer = kindLeads, l
-	}
-	frame, err := encodeFrame(kind, answer)
+	frame, err := encodeLeader(c.knownLeader(0))
 	if err != nil {
 		c.log.Error().Str("event", "leads.encode").Err(err).Send()
 		return
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -105,7 +105,7 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, http.ErrBodyReadAfterClose), err == nil, isNetwork(err), errors.Is(err, io.ErrUnexpectedEOF):
+	case err == nil, isNetwork(err), errors.Is(err, io.ErrUnexpectedEOF):
 	default:
 		status = http.StatusBadRequest // chunks that cannot be read
 	}
--- a/ownership/election/election.go
+++ b/ownership/election/election.go
@@ -222,9 +222,6 @@
 // Vouched notes that another instance hears the leader that this one knows.
 func (e *Elector) Vouched(now lease.Instant) { e.peerAt, e.vouchedAt = now, now }
 
-// Silence is the time since the last news of a leader that reaches the store.
-func (e *Elector) Silence(now lease.Instant) time.Duration { return now - e.heardAt }
-
 // Doubts reports whether the leader is in doubt.
 func (e *Elector) Doubts() bool { return e.doubtAt > 0 }
 
