Find the leader through the record, and replace one that has ended at once

Then a leader whose process had ended was doubted for 0.25 s and more, and asked one candidate after the other. An instance that the record names as leader waited 0.4 s for its own link.

Ruled out: keeping the role with longer lists of seeds (they start late as well); reading the record at each start by a call of full price for each instance.

The record names the candidates and the number of instances; each instance that starts looks at it once by a call that may be answered from an old state (a tenth of the price, not counted in the rate). A port that refuses, or a later process at the leader's address, ends the doubt; candidates that refuse connections are not waited for, all are asked at once, and the elector decides on each of these events. The word of another instance that a leader lives counts from the time at which that one heard it. Without a record, a share of the instances that doubles with time may lead first.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -25,9 +25,6 @@
 	ReadinessAddress string
 	// PeerAddress is the host:port for other instances.
 	PeerAddress string
-	// Seeds are the PeerAddresses of a few instances that a starting one can ask who
-	// leads; they may have ended. Empty if the platform names none.
-	Seeds []string
 	// ApplyWithin is the time within which a change of the configuration has to be in
 	// force everywhere; 0 if it is not told.
 	ApplyWithin time.Duration
@@ -84,6 +81,8 @@
 // wrap those of package store.
 type Store interface {
 	Get(ctx context.Context, kind, name string) (store.Object, error)
+	// GetStale is Get where the answer may be seconds old; it costs less.
+	GetStale(ctx context.Context, kind, name string) (store.Object, error)
 	List(ctx context.Context, kind string) ([]store.Object, store.Version, error)
 	Create(ctx context.Context, obj store.Object) (store.Object, error)
 	Update(ctx context.Context, obj store.Object) (store.Object, error)
--- a/internal/edge/ask.go
+++ b/internal/edge/ask.go
@@ -24,10 +24,17 @@
 // askWho asks the instance at an address who leads. It runs on its own goroutine.
 func (c *control) askWho(address string) {
 	conn, err := net.DialTimeout("tcp", address, linkDialTimeout)
-	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case err == nil:
 		c.post(func() { c.elector.PeerSeen(socket.BootTime()) })
-	}
-	if err != nil {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.post(func() {
+			now := socket.BootTime()
+			c.elector.PeerRefused(now, address)
+			c.elect(now) // it may have been the last one to wait for
+		})
+		return
+	default:
 		return // another instance is asked next
 	}
 	defer func() { _ = conn.Close() }()
@@ -70,7 +77,7 @@
 	case <-c.t.Dying():
 		return
 	}
-	frame, err := encodeLeader(l)
+	frame, err := c.encodeLeader(l)
 	if err != nil {
 		c.post(func() { c.log.Error().Str("event", "leads.encode").Err(err).Send() })
 		return
@@ -79,9 +86,9 @@
 }
 
 // encodeLeader encodes who leads, or that the instance does not lead if that is nil.
-func encodeLeader(l *leads) ([]byte, error) {
+func (c *control) encodeLeader(l *leads) ([]byte, error) {
 	if l == nil {
-		return encodeFrame(kindNotLeader, struct{}{})
+		return encodeFrame(kindNotLeader, notLeader{Incarnation: c.self.Incarnation})
 	}
 	return encodeFrame(kindLeads, l)
 }
@@ -107,7 +114,7 @@
 	case c.record == nil || c.record.Leader.ID == c.self.ID:
 		return nil
 	case c.term > term || c.newsAt > 0 && !c.elector.Doubts():
-		return &leads{Term: c.term, Leader: c.record.Leader}
+		return &leads{Term: c.term, Leader: c.record.Leader, Age: age(socket.BootTime(), c.newsAt)}
 	}
 	return nil
 }
@@ -120,7 +127,7 @@
 	}
 	if l.Term == c.term && c.record != nil {
 		if c.record.Leader.ID == l.Leader.ID && c.lead == nil {
-			c.elector.Vouched(socket.BootTime())
+			c.elector.Vouched(socket.BootTime(), l.Age)
 			if c.link == nil {
 				c.dialLeader()
 			}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -102,7 +102,8 @@
 	leaderLost bool
 	taking     bool
 
-	// leaderEnded says that the leader's process has ended: its address refuses connections.
+	// leaderEnded says that the leader's process has ended: its address refuses
+	// connections, or a later process answers there.
 	leaderEnded  bool
 	leaderLeft   rangelease.Left // what it leaves behind, as it said at leaderLeftAt
 	leaderLeftAt time.Duration
@@ -130,6 +131,7 @@
 func (c *control) run() error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	c.tick(socket.BootTime())
 	for {
 		select {
 		case f := <-c.urgent:
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -15,7 +15,7 @@
 // view is what the elector has to know.
 func (c *control) view(now time.Duration) election.View {
 	v := election.View{
-		NewsAt: c.newsAt, LeaderStoreAt: c.leaderAt, Refused: c.refused, LeaderLost: c.leaderLost,
+		NewsAt: c.newsAt, LeaderStoreAt: c.leaderAt, Refused: c.refused, Ended: c.leaderEnded, LeaderLost: c.leaderLost,
 		RecordKnown: c.recordKnown, ReachesStore: c.reachesStore(now),
 	}
 	if c.link == nil {
@@ -51,14 +51,17 @@
 			Bool("refused", c.refused).Bool("store_lost", c.leaderLost).
 			Dur("news_age_ms", age(now, c.newsAt)).Dur("leader_store_age_ms", age(now, c.leaderAt)).Send()
 	}
+	if d.Look {
+		c.lookAtRecord()
+	}
 	if d.FollowRecord {
 		c.startFollow(ownershipKind)
 	}
 	if d.FollowChanges {
 		c.followChanges()
 	}
-	if d.Ask != "" {
-		c.t.Go(func() error { c.askWho(d.Ask); return nil })
+	for _, address := range d.Ask {
+		c.t.Go(func() error { c.askWho(address); return nil })
 	}
 	if d.TakeOver && !c.taking && !c.stopping {
 		c.takeOver()
@@ -158,6 +161,42 @@
 	})
 }
 
+// lookAtRecord learns the leader and the candidates from a record that may be old. It
+// neither allows a take-over nor names the owners of keys.
+func (c *control) lookAtRecord() {
+	ctx := c.t.Context(context.Background())
+	c.t.Go(func() error {
+		got, err := c.store.GetStale(ctx, ownershipKind, ownershipName)
+		if errors.Is(err, store.ErrNotFound) {
+			return nil // the deployment starts for the first time
+		}
+		var r *rangelease.Record
+		if err == nil {
+			r, err = rangelease.DecodeRecord(got.Value)
+		}
+		c.post(func() {
+			if err != nil {
+				c.log.Warn().Str("event", "ownership.not_read").Err(err).Send()
+				return
+			}
+			c.adoptCandidates(r)
+			c.toldLeader(&leads{Term: r.Term, Leader: r.Leader})
+		})
+		return nil
+	})
+}
+
+// adoptCandidates takes what a record says of the instances until a leader says more.
+func (c *control) adoptCandidates(r *rangelease.Record) {
+	if c.newsAt > 0 || c.lead != nil || r.Term < c.term {
+		return
+	}
+	c.elector.SetCandidates(r.Candidates)
+	if r.Instances > 0 {
+		c.setInstances(r.Instances)
+	}
+}
+
 // startLeading starts to lead under a record that the store has.
 func (c *control) startLeading(sent time.Duration, r *rangelease.Record, version store.Version) {
 	if version <= c.recordVersion || c.lead != nil {
@@ -223,6 +262,7 @@
 	}
 	known := c.record != nil && c.record.Leader == r.Leader && c.record.Term == r.Term
 	c.record, c.recordVersion = r, version
+	c.adoptCandidates(r)
 	if known {
 		return
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -156,6 +156,7 @@
 	switch kind {
 	case ownershipKind:
 		c.ownershipSeen(sent, objects)
+		c.elect(now) // the record allows a take-over
 	case c.configKind():
 		for _, o := range objects {
 			c.configSeen(o)
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -128,7 +128,7 @@
 		c.lead.admit(socket.BootTime())
 		return
 	}
-	frame, err := encodeLeader(c.knownLeader(0))
+	frame, err := c.encodeLeader(c.knownLeader(0))
 	if err != nil {
 		c.log.Error().Str("event", "leads.encode").Err(err).Send()
 		return
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -178,6 +178,7 @@
 		l.beatAt = now
 		l.broadcast(news{Candidates: l.newCandidates(now)})
 		l.c.setInstances(len(l.followers) + 1)
+		l.granter.SetCandidates(now, l.candidates, len(l.followers)+1)
 		l.yield(now)
 		l.recall(now)
 	}
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"syscall"
@@ -18,8 +19,9 @@
 )
 
 const (
-	// linkDialTimeout bounds connecting to the leader.
-	linkDialTimeout = 400 * time.Millisecond
+	// linkDialTimeout bounds connecting to the leader. Instances are a few milliseconds
+	// apart, and a machine without power does not answer until it has started.
+	linkDialTimeout = 200 * time.Millisecond
 	// linkRetry is the time between attempts to reach the leader.
 	linkRetry = 150 * time.Millisecond
 	// longestLinkRetry bounds that time, which grows with each attempt: hundreds of
@@ -79,7 +81,12 @@
 	}
 }
 
-var errNotLeader = errors.New("the instance does not lead")
+// Errors of a link to an instance that answers and does not lead.
+var (
+	errNotLeader = errors.New("the instance does not lead")
+	// errLaterProcess means that the leader's process has ended.
+	errLaterProcess = fmt.Errorf("%w: it has started again", errNotLeader)
+)
 
 func (c *control) readLink(ctx context.Context, l *link, conn net.Conn) error {
 	version := make(chan store.Version, 1)
@@ -104,8 +111,8 @@
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(election.DefaultOptions.NewsFresh))
 		n := &news{}
-		other := &leads{}
-		kind, err := readFrame(r, map[byte]any{kindNews: n, kindPackedNews: &packed{n}, kindNotLeader: nil, kindLeads: other})
+		other, none := &leads{}, &notLeader{}
+		kind, err := readFrame(r, map[byte]any{kindNews: n, kindPackedNews: &packed{n}, kindNotLeader: none, kindLeads: other})
 		if err != nil {
 			return err
 		}
@@ -114,6 +121,9 @@
 			c.post(func() { c.toldLeader(other) })
 			return errNotLeader
 		case kindNotLeader:
+			if none.Incarnation > l.leader.Incarnation {
+				return errLaterProcess
+			}
 			return errNotLeader
 		}
 		c.post(func() { c.applyNews(l, n) })
@@ -152,8 +162,9 @@
 	if c.refused {
 		c.newsAt = 0
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errLaterProcess) {
 		c.leaderEnded = true
+		c.elect(socket.BootTime()) // there is nothing to wait for
 	}
 }
 
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -55,6 +55,12 @@
 	Config store.Version `msgpack:"c,omitempty"`
 }
 
+// notLeader is the answer of an instance that does not lead, or does not know who does.
+type notLeader struct {
+	// Incarnation names the run of its process.
+	Incarnation int64 `msgpack:"n,omitempty"`
+}
+
 // ask is the question who leads.
 type ask struct {
 	// Term is the newest that the instance knows.
@@ -65,6 +71,8 @@
 type leads struct {
 	Term   uint64            `msgpack:"t"`
 	Leader rangelease.Leader `msgpack:"l"`
+	// Age is the time since the sender last heard the leader; 0 if it leads itself.
+	Age time.Duration `msgpack:"a,omitempty"`
 }
 
 // news is what the leader tells its followers. Parts that have not changed are
--- a/ownership/election/election.go
+++ b/ownership/election/election.go
@@ -5,13 +5,15 @@
 // A leader tells all instances who its candidates are: the strongest few, in an
 // order that all know. Only candidates follow the record of ownership while a
 // leader is in doubt, so the calls to the store do not grow with the number of
-// instances. All others ask candidates. An instance that finds neither a leader nor
-// a candidate for long makes itself a candidate, at a rate that all instances keep
-// together.
+// instances. All others ask candidates. The record names them too, so that one look
+// at it tells an instance that starts whom to follow and whether it has to take over
+// itself. An instance that finds neither a leader nor a candidate for long makes
+// itself a candidate, at a rate that all instances keep together.
 package election
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,7 +29,7 @@
 const Candidates = 6
 
 // StrongEnough is the part of a leader's strength from which another instance can
-// lead as well, and the strength in cores from which an instance starts a deployment.
+// lead as well.
 const StrongEnough = 0.7
 
 // followSteps times RankStep is the time by which each candidate follows configuration
@@ -41,8 +43,8 @@
 	// StoreStale is the age of the leader's last answer from the store from which
 	// another instance may take over.
 	StoreStale time.Duration
-	// RefusedPatience is the time for which a leader whose address refuses connections
-	// may start to listen, or may reach the store again.
+	// RefusedPatience is the time for which an instance that says that it does not lead
+	// may still learn that it does, or may reach the store again.
 	RefusedPatience time.Duration
 	// SilentPatience is the time between the first doubt about a silent leader and
 	// the take-over by the first candidate.
@@ -53,8 +55,8 @@
 	// WeakPatience is the time for which an instance leaves a lost lead to those that
 	// are as strong as the leader was.
 	WeakPatience time.Duration
-	// FirstPatience is the time for which the weakest instance waits before it leads a
-	// deployment that starts for the first time.
+	// FirstPatience is the time by which the weakest instance waits longer than one with
+	// a core before it leads a deployment that starts for the first time.
 	FirstPatience time.Duration
 	// DeposedPatience is the time for which an instance that lost the lead leaves it
 	// to others, so that two that do not hear each other do not take turns.
@@ -62,14 +64,22 @@
 	// IsolatedPatience is the time for which a candidate waits that reaches the store
 	// but no other candidate: it is more likely cut off than alone.
 	IsolatedPatience time.Duration
-	// VouchedFor is the time for which the word of another instance counts that the
-	// leader is alive.
+	// VouchedFor is the time for which a sign of life of the leader at another instance
+	// counts.
 	VouchedFor time.Duration
 	// CandidateFollow and FollowAfter are the times since the last news after which
 	// candidates and others follow configuration and targets in the store themselves.
 	// FollowAfter leaves time for a new leader, and for a poll within the bound in
 	// which changes must be in force.
 	CandidateFollow, FollowAfter time.Duration
+	// LookPause is the least time between two looks at the record of an instance that
+	// starts: a look may show a state that is seconds old.
+	LookPause time.Duration
+	// FirstShare of all instances may lead a deployment that starts for the first time at
+	// once; the share doubles with each FirstDoubling. So a few lead at any number of
+	// instances, which nobody knows yet.
+	FirstShare    float64
+	FirstDoubling time.Duration
 	// Spread is the time over which instances without an order spread what they do.
 	Spread time.Duration
 	// ReturnTime is the time after which a leader that also reaches the store again has
@@ -87,8 +97,11 @@
 	// spread so that SelfPerSecond instances a second do.
 	SelfAfter     time.Duration
 	SelfPerSecond float64
-	// StartSpread is that spread while the number of instances is not known.
-	StartSpread time.Duration
+	// OnlyPerSecond is that number where the leader and all candidates refuse connections:
+	// nobody else will take over, and all instances may have just started.
+	OnlyPerSecond float64
+	// RefusalLife is the time for which a refused connection says that nothing listens there.
+	RefusalLife time.Duration
 }
 
 // DefaultOptions are the defaults.
@@ -99,7 +112,7 @@
 	SilentPatience:      400 * time.Millisecond,
 	RankStep:            100 * time.Millisecond,
 	WeakPatience:        600 * time.Millisecond,
-	FirstPatience:       800 * time.Millisecond,
+	FirstPatience:       300 * time.Millisecond,
 	DeposedPatience:     3 * time.Second,
 	IsolatedPatience:    4 * time.Second,
 	VouchedFor:          time.Second,
@@ -114,7 +127,11 @@
 	LinkedPatience:      time.Second,
 	SelfAfter:           3 * time.Second,
 	SelfPerSecond:       8,
-	StartSpread:         4 * time.Second,
+	OnlyPerSecond:       256,
+	RefusalLife:         3 * time.Second,
+	LookPause:           1100 * time.Millisecond,
+	FirstShare:          1.0 / 64,
+	FirstDoubling:       450 * time.Millisecond,
 }
 
 // View is what an instance sees of the leader and the store.
@@ -127,6 +144,9 @@
 	LeaderStoreAt lease.Instant
 	// Refused says that the leader's address refuses connections or does not lead.
 	Refused bool
+	// Ended says that the leader's process has ended: its address refuses connections, or
+	// a later process answers there.
+	Ended bool
 	// LeaderLost says that the store does not answer the leader.
 	LeaderLost bool
 	// RecordKnown says that the record was read, or that there is none.
@@ -146,49 +166,50 @@
 	FollowRecord, FollowChanges bool
 	// TakeOver says that the lead is to be taken.
 	TakeOver bool
-	// Ask is the address of an instance to be asked who leads; it may be empty.
-	Ask string
+	// Ask are the addresses of instances to be asked who leads.
+	Ask []string
+	// Look says that the record is to be read once, to learn the leader and the
+	// candidates. It may be seconds old.
+	Look bool
 }
 
 // Elector is the state of one instance.
 type Elector struct {
 	o    Options
 	self rangelease.Leader
-	// seeds are addresses of instances that a starting one can ask.
-	seeds []string
 	// rand returns a number from 0 to 1.
 	rand func() float64
 
 	instances  int
 	candidates []rangelease.Leader
-	rank       int  // among the candidates, -1 if this instance is none
-	seed       bool // other instances can ask this one when they start
-	starter    bool
+	rank       int           // among the candidates, -1 if this instance is none
+	firstAt    lease.Instant // when it may lead a deployment without a record
+	lookAt     lease.Instant // when it looks at the record
+	// refusedAt has the times of the last refused connections, by address.
+	refusedAt map[string]lease.Instant
 
 	heardAt   lease.Instant // last news of a healthy leader, or the start
 	linkedBy  lease.Instant // when a leader that is followed anew should have been heard
 	doubtAt   lease.Instant // begin of the doubt, 0 if there is none
 	selfAt    lease.Instant // when this instance makes itself a candidate
+	onlyAt    lease.Instant // when it does so if all candidates refuse connections
 	nominated bool
 	spread    time.Duration
 	askAt     lease.Instant
 	turn      int
 	reachedAt lease.Instant // since when the store answers this instance, 0 if it does not
 	peerAt    lease.Instant // last sign of life of another instance
-	vouchedAt lease.Instant
+	vouchedAt lease.Instant // last sign of life of the leader at another instance
 	deposedAt lease.Instant
 }
 
 // New returns the elector of an instance that starts now.
-func New(o Options, now lease.Instant, self rangelease.Leader, seeds []string, rand func() float64) *Elector {
-	e := &Elector{o: o, self: self, rand: rand, rank: -1, heardAt: now}
-	for _, s := range seeds {
-		if s != self.Address {
-			e.seeds = append(e.seeds, s)
-		}
-	}
-	e.seed = len(e.seeds) < len(seeds)
-	e.starter = e.seed || self.Strength >= StrongEnough || len(seeds) == 0
+func New(o Options, now lease.Instant, self rangelease.Leader, rand func() float64) *Elector {
+	e := &Elector{o: o, self: self, rand: rand, rank: -1, heardAt: now, lookAt: now, refusedAt: map[string]lease.Instant{}}
+	// The inverse of a share that grows as FirstShare and FirstDoubling say.
+	doublings := math.Log2(max(rand()/o.FirstShare, 1))
+	weakness := 1 - min(self.Strength, 1)
+	e.firstAt = now + time.Duration(doublings*float64(o.FirstDoubling)+weakness*float64(o.FirstPatience))
 	return e
 }
 
@@ -219,8 +240,16 @@
 // PeerSeen notes a sign of life of another instance: an answer, or a refused connection.
 func (e *Elector) PeerSeen(now lease.Instant) { e.peerAt = now }
 
-// Vouched notes that another instance hears the leader that this one knows.
-func (e *Elector) Vouched(now lease.Instant) { e.peerAt, e.vouchedAt = now, now }
+// PeerRefused notes that an address refuses connections.
+func (e *Elector) PeerRefused(now lease.Instant, address string) {
+	e.peerAt, e.refusedAt[address] = now, now
+}
+
+// Vouched notes that another instance has heard the leader that this one knows, the
+// given time ago.
+func (e *Elector) Vouched(now lease.Instant, age time.Duration) {
+	e.peerAt, e.vouchedAt = now, max(e.vouchedAt, now-age)
+}
 
 // Doubts reports whether the leader is in doubt.
 func (e *Elector) Doubts() bool { return e.doubtAt > 0 }
@@ -232,10 +261,10 @@
 		e.doubtAt, e.heardAt, e.nominated = 0, v.NewsAt, false
 		return Decision{Healthy: true}
 	}
-	if now < e.linkedBy && v.NewsAt == 0 && !v.Refused && e.doubtAt == 0 {
+	if now < e.linkedBy && v.NewsAt == 0 && !v.Refused && e.doubtAt == 0 && v.Leader.ID != e.self.ID {
 		return Decision{}
 	}
-	var d Decision
+	d := Decision{Look: e.look(now)}
 	if e.doubtAt == 0 {
 		e.begin(now)
 		d.Doubted = true
@@ -247,7 +276,7 @@
 		e.reachedAt = now
 	}
 	d.Ask = e.next(now, fresh)
-	if !e.mayLead(now, fresh) {
+	if !e.mayLead(now, fresh, v) {
 		// A leader that has lost the store is replaced by a candidate that reaches it. If
 		// there is none, the store is down for all.
 		d.FollowChanges = !fresh && now-e.heardAt > e.o.FollowAfter+e.spread
@@ -264,39 +293,61 @@
 	return d
 }
 
+// look reports whether an instance that knows no candidates looks at the record now.
+func (e *Elector) look(now lease.Instant) bool {
+	if len(e.candidates) > 0 || now < e.lookAt {
+		return false
+	}
+	e.lookAt = now + time.Duration((1+e.rand()/4)*float64(e.o.LookPause))
+	return true
+}
+
 func (e *Elector) begin(now lease.Instant) {
 	e.doubtAt, e.askAt, e.reachedAt, e.nominated = now, now, 0, false
 	e.spread = time.Duration(e.rand() * float64(e.o.Spread))
-	window := e.o.StartSpread
-	switch {
-	case e.seed:
-		window = e.o.Spread // the others can ask a seed
-	case e.instances > 0:
-		window = time.Duration(float64(e.instances) / e.o.SelfPerSecond * float64(time.Second))
+	draw := func(perSecond float64) time.Duration {
+		return time.Duration(e.rand() * float64(e.instances) / perSecond * float64(time.Second))
 	}
-	e.selfAt = now + e.o.SelfAfter + time.Duration(e.rand()*float64(window))
+	e.selfAt = now + e.o.SelfAfter + e.spread + draw(e.o.SelfPerSecond)
+	e.onlyAt = now + draw(e.o.OnlyPerSecond)
 	if e.rank < 0 {
-		e.turn = int(e.rand() * float64(len(e.candidates)+len(e.seeds)))
+		e.turn = int(e.rand() * float64(len(e.candidates)))
 	}
 }
 
 // mayLead reports whether this instance is a candidate.
-func (e *Elector) mayLead(now lease.Instant, linked bool) bool {
+func (e *Elector) mayLead(now lease.Instant, linked bool, v View) bool {
 	switch {
-	case e.rank >= 0, e.nominated, len(e.candidates) == 0 && e.starter:
+	case e.rank >= 0, e.nominated, len(e.candidates) == 0 && now >= e.firstAt:
 		return true
 	case linked:
 		return false
 	}
-	e.nominated = now >= e.selfAt
+	e.nominated = now >= e.selfAt || now >= e.onlyAt && len(e.candidates) > 0 && e.before(now, v) == 0
 	return e.nominated
 }
 
+// before is the number of candidates that take over before this instance: all that do
+// not refuse connections, for one that is none.
+func (e *Elector) before(now lease.Instant, v View) int {
+	n := 0
+	for i, c := range e.candidates {
+		if i == e.rank {
+			break
+		}
+		at, refused := e.refusedAt[c.Address]
+		if c.ID == v.Leader.ID && !v.Ended || c.ID != v.Leader.ID && (!refused || now-at > e.o.RefusalLife) {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *Elector) mayTakeOver(now lease.Instant, v View) bool {
 	switch {
 	case !v.RecordKnown || !v.ReachesStore:
 		return false
-	case v.LeaderLost && now < e.reachedAt+e.patience(v), now < e.doubtAt+e.patience(v):
+	case v.LeaderLost && now < e.reachedAt+e.patience(now, v), now < e.doubtAt+e.patience(now, v):
 		return false
 	case e.deposedAt > 0 && now-e.deposedAt < e.o.DeposedPatience && !v.Refused:
 		return false
@@ -309,24 +360,21 @@
 }
 
 // patience is the time between the first doubt and the take-over.
-func (e *Elector) patience(v View) time.Duration {
-	if v.Leader.ID == "" {
-		return e.spread + time.Duration((1-min(e.self.Strength, 1))*float64(e.o.FirstPatience))
-	}
-	if v.Leader.ID == e.self.ID {
+func (e *Elector) patience(now lease.Instant, v View) time.Duration {
+	if v.Leader.ID == "" || v.Leader.ID == e.self.ID {
 		return 0
 	}
 	patience := e.o.SilentPatience
 	switch {
+	case v.Ended:
+		patience = 0
 	case v.Refused:
 		patience = e.o.RefusedPatience
 	case v.LeaderLost:
 		patience = e.o.ReturnTime
 	}
 	if e.rank >= 0 {
-		patience += time.Duration(e.rank) * e.o.RankStep
-	} else {
-		patience += e.spread
+		patience += time.Duration(e.before(now, v)) * e.o.RankStep
 	}
 	if e.self.Strength < StrongEnough*v.Leader.Strength {
 		patience += e.o.WeakPatience
@@ -345,27 +393,30 @@
 	return others > 0 && e.peerAt < e.doubtAt && !v.Refused && !v.LeaderLost
 }
 
-// next returns the address that is to be asked now, if it is time.
-func (e *Elector) next(now lease.Instant, linked bool) string {
+// next returns the addresses that are to be asked now, if it is time: all candidates
+// when the doubt begins, then one after the other.
+func (e *Elector) next(now lease.Instant, linked bool) []string {
 	if now < e.askAt || linked && now-e.doubtAt < e.o.LinkedPatience {
-		return ""
+		return nil
 	}
+	first := e.askAt == e.doubtAt
 	pause := e.o.AskPause
 	if e.rank < 0 {
 		pause = min(pause+time.Duration(e.instances)*e.o.AskPausePerInstance, e.o.LongestAskPause)
 	}
 	e.askAt = now + time.Duration((0.5+e.rand())*float64(pause))
-	for range len(e.candidates) + len(e.seeds) {
-		i := e.turn % (len(e.candidates) + len(e.seeds))
+	var ask []string
+	for range e.candidates {
+		c := e.candidates[e.turn%len(e.candidates)]
 		e.turn++
-		if i >= len(e.candidates) {
-			return e.seeds[i-len(e.candidates)]
+		if c.ID != e.self.ID {
+			ask = append(ask, c.Address)
 		}
-		if c := e.candidates[i]; c.ID != e.self.ID {
-			return c.Address
+		if len(ask) == 1 && !first {
+			break
 		}
 	}
-	return ""
+	return ask
 }
 
 // Rank returns the leader and the candidates for the instances that it knows, in
--- a/ownership/rangelease/granter.go
+++ b/ownership/rangelease/granter.go
@@ -84,6 +84,9 @@
 	o      Options
 	term   uint64
 	leader Leader
+	// candidates and instances are told to those that read the record.
+	candidates []Leader
+	instances  int
 
 	orders uint64 // fencing tokens used in this term
 	calls  uint64 // calls issued
@@ -102,7 +105,7 @@
 	storeAt    lease.Instant // last confirmation of the term by the store
 	writing    bool
 	pending    *Record
-	clearSince lease.Instant // 0 if no finished move waits to be written
+	clearSince lease.Instant // 0 if no finished move and no other candidate waits to be written
 	fenced     bool
 	// fencedAt is the last time at which a target had seen a token of a later term, or
 	// at which the caller was suspended. Nothing is sent then until the store has
@@ -139,7 +142,7 @@
 // own time since the store's last confirmation began before now.
 func New(o Options, sent, now lease.Instant, r *Record, before Predecessor) *Granter {
 	g := &Granter{
-		o: o, term: r.Term, leader: r.Leader,
+		o: o, term: r.Term, leader: r.Leader, candidates: r.Candidates, instances: r.Instances,
 		spans: map[string][]*span{}, peers: map[routing.Lifetime]*peer{}, storeAt: sent,
 		byID: map[string][]*peer{}, byAddress: map[string][]*peer{},
 		doubted: map[routing.Lifetime]*peer{}, byCall: map[uint64]*span{},
@@ -225,6 +228,19 @@
 	}
 }
 
+// SetCandidates sets the candidates and the number of instances of the record. Other
+// candidates are written within clearAfter, another number with the next change.
+func (g *Granter) SetCandidates(now lease.Instant, candidates []Leader, instances int) {
+	g.instances = instances
+	if slices.Equal(candidates, g.candidates) {
+		return
+	}
+	g.candidates = candidates
+	if g.clearSince == 0 {
+		g.clearSince = now
+	}
+}
+
 // SetTargets sets the list of targets, all services together.
 func (g *Granter) SetTargets(targets []routing.Target) {
 	listed := make(map[routing.Lifetime]bool, len(targets))
@@ -434,7 +450,7 @@
 
 // record returns the record with all planned moves.
 func (g *Granter) record(now lease.Instant) *Record {
-	r := &Record{Term: g.term, Leader: g.leader, Services: map[string][]Entry{}}
+	r := &Record{Term: g.term, Leader: g.leader, Candidates: g.candidates, Instances: g.instances, Services: map[string][]Entry{}}
 	for name, spans := range g.spans {
 		for _, s := range spans {
 			e := Entry{Span: s.Span, Holder: s.holder, Reason: s.reason, Term: s.term}
--- a/ownership/rangelease/record.go
+++ b/ownership/rangelease/record.go
@@ -78,6 +78,10 @@
 	// Term rises with every change of the leader.
 	Term   uint64 `json:"term"`
 	Leader Leader `json:"leader"`
+	// Candidates are the leader and the instances that may take over from it, in their
+	// order, and Instances is the number of all, when the record was written.
+	Candidates []Leader `json:"candidates,omitempty"`
+	Instances  int      `json:"instances,omitempty"`
 	// Services has the spans of each partitioned service, ordered, without gaps or overlaps.
 	Services map[string][]Entry `json:"services"`
 }
