Ask callers back by the target's queue when the budget of repeats is spent

Ruled out: a larger share of the budget; it bounds what reaches targets.

Change: the board takes the budget as part of its choice and asks callers back after the target's queue, at least 50 ms. The same for the last attempt that a target refused.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -118,9 +118,9 @@
 	// for which a request is held at most.
 	RetryAfter time.Duration
 	// Load is the estimated number of requests at the target, Expected the time in
-	// which it would finish this one.
-	Load     float64
-	Expected time.Duration
+	// which it would finish this one, Queue the part of that before it begins.
+	Load            float64
+	Expected, Queue time.Duration
 	// ReportAge is the age of the target's last report of its load; -1 if there is none.
 	ReportAge time.Duration
 }
@@ -251,12 +251,19 @@
 // SetOwners replaces the owners of the keys of a service, ordered by key.
 func (b *Board) SetOwners(service string, owners []routing.Owner) { b.owners[service] = owners }
 
-// Choose decides about a request.
+// Choose decides about a request. A repeat that is to be sent counts against the budget.
 func (b *Board) Choose(now time.Duration, r *Request) Decision {
+	var d Decision
 	if r.Key >= 0 {
-		return b.chooseOwner(now, r, b.owners[r.Service])
+		d = b.chooseOwner(now, r, b.owners[r.Service])
+	} else {
+		d = b.chooseAny(now, r)
+	}
+	if d.Verdict == Send && r.Repeat && !b.budgetOf(r.Service).Take(now) {
+		// The caller's own next try counts as a new request, which the target may take.
+		return reject(r, "repeat_budget", d.Queue, d)
 	}
-	return b.chooseAny(now, r)
+	return d
 }
 
 func (b *Board) chooseOwner(now time.Duration, r *Request, owners []routing.Owner) Decision {
@@ -419,9 +426,6 @@
 // Request counts a request for a service.
 func (b *Board) Request(now time.Duration, service string) { b.budgetOf(service).Request(now) }
 
-// Repeat reports whether a request may be sent once more, and counts it.
-func (b *Board) Repeat(now time.Duration, service string) bool { return b.budgetOf(service).Take(now) }
-
 func (b *Board) budgetOf(service string) *RepeatBudget {
 	s := b.budgets[service]
 	if s == nil {
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -23,7 +23,7 @@
 		service *= coldFactor
 	}
 	rounds := max(1, (d.Load+1)/float64(t.Slots))
-	d.Expected = time.Duration(service * rounds)
+	d.Expected, d.Queue = time.Duration(service*rounds), time.Duration(service*(rounds-1))
 	return d
 }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -310,7 +310,7 @@
 	case a.result == dispatch.Misdirected:
 		return c.f.refuse(c, c.in, reasonMoved, holdStep)
 	default:
-		return c.f.refuse(c, c.in, reasonShed, max(c.decision.Expected, holdStep))
+		return c.f.refuse(c, c.in, reasonShed, max(c.decision.Queue, shedRetryAfter))
 	}
 }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -19,13 +19,13 @@
 )
 
 const (
-	// budgetRetryAfter is sent when the budget of repeats is spent. The window of
-	// the budget moves on in steps of this order.
-	budgetRetryAfter = 500 * time.Millisecond
 	// noConfigRetryAfter is sent while no configuration is known.
 	noConfigRetryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is sent by an instance that stops: others serve at once.
 	stoppingRetryAfter = 50 * time.Millisecond
+	// shedRetryAfter is the least time after which callers come back whose request was
+	// refused by a target. One that refuses at random may take the next try.
+	shedRetryAfter = 50 * time.Millisecond
 	// maxUnsent is the number of targets that are tried without sending anything.
 	maxUnsent = 3
 	// unsentPause is the time before the holder of a key is tried again that could not be reached.
@@ -41,7 +41,6 @@
 
 // Reasons of rejections besides those of package dispatch.
 const (
-	reasonBudget   = "repeat_budget"
 	reasonNoConfig = "no_config"
 	reasonStopping = "stopping"
 	reasonNoRoute  = "no_route"
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -72,9 +72,6 @@
 	defer s.mu.Unlock()
 	now := socket.BootTime()
 	d := s.board.Choose(now, r)
-	if d.Verdict == dispatch.Send && r.Repeat && !s.board.Repeat(now, r.Service) {
-		d.Verdict, d.Reason, d.RetryAfter = dispatch.Reject, reasonBudget, budgetRetryAfter
-	}
 	if d.Verdict == dispatch.Send {
 		s.board.Started(d.Target.Lifetime())
 	}
