Let requests that can still be on time go first at a full target

Change: the board learns from callers that come while nobody is refused with how much time they begin. A caller with clearly less has lost time; if it cannot be on time any more, it gets what the others leave of a target: a queue up to half as long, and under pressure only what is left of the admitted share. Callers with several time budgets are not told apart by this (a property). Rejections log what the caller had lost.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -52,6 +52,9 @@
 	// request is rejected: a queue that is longer makes all later ones late. It is
 	// below 1 because the load of a target is known with a delay.
 	lateFactor = 0.9
+	// backlogFactor times the objective is that time for requests that are late already.
+	// They must not fill the queue that those with all their time still pass in time.
+	backlogFactor = 0.45
 	// minRetryAfter is the shortest time after which a caller is asked back.
 	minRetryAfter = 50 * time.Millisecond
 	// maxRetryAfter bounds the time for which a caller is sent away, unless it has more
@@ -100,8 +103,9 @@
 	Left time.Duration
 	// Objective is the latency within which the answer has its full value.
 	Objective time.Duration
-	// Waited is the time since the request arrived.
-	Waited time.Duration
+	// Waited is the time since the request arrived, Lost what its caller had lost before by
+	// tries that were refused, as Arrived estimates it.
+	Waited, Lost time.Duration
 	// Tried are the targets that got the request before.
 	Tried []string
 	// Repeat says that the request was sent before.
@@ -155,6 +159,7 @@
 	rank       uint64 // order in which this instance prefers targets
 	pressureAt time.Duration
 	turns      int
+	lateShare  float64 // of the requests for a target under pressure
 	// served and busy sum up what was answered since the last call of Samples.
 	served int
 	busy   time.Duration
@@ -173,7 +178,10 @@
 	phase    float64
 	usual    map[string]*usualLoad // by service
 	bytes    map[traffic]float64
-	subsets  map[string]*subset // by service
+	callers  map[traffic]*timeBudgets
+	// rejectedAt has the times of the last rejections, by service.
+	rejectedAt map[string]time.Duration
+	subsets    map[string]*subset // by service
 	// instances is the number of instances that share the targets, 0 if unknown.
 	instances int
 	// seed differs between instances.
@@ -186,7 +194,7 @@
 	return &Board{
 		zone: zone, services: map[string][]*target{}, byID: map[routing.Lifetime]*target{},
 		owners: map[string][]routing.Owner{}, budgets: map[string]*RepeatBudget{}, budget: budget, usual: map[string]*usualLoad{},
-		bytes: map[traffic]float64{}, subsets: map[string]*subset{},
+		bytes: map[traffic]float64{}, callers: map[traffic]*timeBudgets{}, rejectedAt: map[string]time.Duration{}, subsets: map[string]*subset{},
 	}
 }
 
@@ -261,7 +269,10 @@
 	}
 	if d.Verdict == Send && r.Repeat && !b.budgetOf(r.Service).Take(now) {
 		// The caller's own next try counts as a new request, which the target may take.
-		return reject(r, "repeat_budget", d.Queue, d)
+		d = reject(r, "repeat_budget", d.Queue, d)
+	}
+	if d.Verdict == Reject {
+		b.rejectedAt[r.Service] = now
 	}
 	return d
 }
@@ -403,8 +414,8 @@
 // judge sends the request to the target unless it would be too late.
 func (b *Board) judge(now time.Duration, t *target, r *Request, d Decision) Decision {
 	limit := r.Left
-	if late := time.Duration(lateFactor*float64(r.Objective)) - r.Waited; r.Objective > 0 && !r.Repeat {
-		limit = min(limit, max(late, 2*b.serviceTime(t)))
+	if r.Objective > 0 && !r.Repeat {
+		limit = min(limit, b.longestWait(t, r))
 	}
 	if d.Load >= float64(t.Slots) && d.Expected > limit {
 		return reject(r, "overloaded", d.Expected-limit+b.serviceTime(t)/2, d)
@@ -416,6 +427,21 @@
 	return d
 }
 
+// longestWait is the expected time up to which a request is sent: while it is likely to
+// be on time. One that is late whatever happens gets what the others leave of a target.
+func (b *Board) longestWait(t *target, r *Request) time.Duration {
+	service := b.serviceTime(t)
+	if r.late(service) {
+		return time.Duration(backlogFactor * float64(r.Objective))
+	}
+	return max(time.Duration(lateFactor*float64(r.Objective))-r.Waited-r.Lost, 2*service)
+}
+
+// late reports whether a request misses its objective because of what its caller has lost.
+func (r *Request) late(service time.Duration) bool {
+	return r.Lost > 0 && r.Lost+service > r.Objective
+}
+
 func reject(r *Request, reason string, after time.Duration, d Decision) Decision {
 	d.Verdict, d.Reason = Reject, reason
 	longest := max(maxRetryAfter, time.Duration(retryShare*float64(r.Left)))
@@ -423,9 +449,6 @@
 	return d
 }
 
-// Request counts a request for a service.
-func (b *Board) Request(now time.Duration, service string) { b.budgetOf(service).Request(now) }
-
 func (b *Board) budgetOf(service string) *RepeatBudget {
 	s := b.budgets[service]
 	if s == nil {
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -20,6 +20,9 @@
 	servers map[routing.Lifetime]*server
 	events  []event
 
+	callers                                 int           // whose first try it was
+	budgetSpread                            time.Duration // of the time with which callers begin
+	forgetful                               bool          // nobody considers what callers have lost
 	offered, onTime, late, rejected, failed int
 	shed, retries                           int
 	sent                                    map[string]int
@@ -114,28 +117,41 @@
 		return
 	}
 	m.after(gap, func() {
-		m.request(m.boards[m.rand.IntN(len(m.boards))], r)
+		fresh := r
+		fresh.Left -= time.Duration(m.rand.Float64() * float64(m.budgetSpread))
+		m.request(m.boards[m.rand.IntN(len(m.boards))], fresh, try{})
 		m.offer(perSecond, until, r)
 	})
 }
 
+// try says what a caller has behind it.
+type try struct {
+	before int           // tries that were refused
+	spent  time.Duration // since the first of them
+}
+
 // comeBack lets a caller that was refused come back at another instance.
-func (m *model) comeBack(r dispatch.Request, after time.Duration) {
-	if r.Waited >= time.Duration(m.retries) { // counts the retries of a caller
+func (m *model) comeBack(r dispatch.Request, t try, after time.Duration) {
+	if t.before >= m.retries || r.Left <= after {
 		return
 	}
-	r.Waited++
 	r.Left -= after
-	m.after(after, func() { m.request(m.boards[m.rand.IntN(len(m.boards))], r) })
+	t = try{t.before + 1, t.spent + after}
+	m.after(after, func() { m.request(m.boards[m.rand.IntN(len(m.boards))], r, t) })
 }
 
-func (m *model) request(b *dispatch.Board, r dispatch.Request) {
+func (m *model) request(b *dispatch.Board, r dispatch.Request, t try) {
 	m.offered++
-	b.Request(m.now, r.Service)
+	if t.before == 0 {
+		m.callers++
+	}
+	if lost := b.Arrived(m.now, &r); !m.forgetful {
+		r.Lost = lost
+	}
 	d := b.Choose(m.now, &r)
 	if d.Verdict != dispatch.Send {
 		m.rejected++
-		m.comeBack(r, d.RetryAfter)
+		m.comeBack(r, t, d.RetryAfter)
 		return
 	}
 	id, began := d.Target.Lifetime(), m.now
@@ -153,7 +169,7 @@
 		switch {
 		case result != dispatch.Answered:
 			m.failed++
-		case took <= r.Objective:
+		case t.spent+took <= r.Objective:
 			m.onTime++
 		default:
 			m.late++
--- a/dispatch/pressure.go
+++ b/dispatch/pressure.go
@@ -16,6 +16,9 @@
 	admittedLoad = 1.0
 )
 
+// lateShareWeight is the weight of one request in the share of late ones.
+const lateShareWeight = 0.05
+
 // GoldenRatio times successive numbers, without the whole part, is spread evenly
 // from 0 to 1.
 const GoldenRatio = 0.6180339887498949
@@ -70,6 +73,19 @@
 	t.fullUntil, t.queueFull = max(t.fullUntil, now+pause), true
 }
 
+// admitted is the share of requests that are sent to a target under pressure. Those that
+// can still be on time go first; those that are late get what is left.
+func admitted(pressure, lateShare float64, late bool) float64 {
+	fresh := pressure * (1 - lateShare)
+	if !late {
+		return min(admittedLoad/max(fresh, admittedLoad), 1)
+	}
+	if fresh >= admittedLoad {
+		return 0
+	}
+	return min((admittedLoad-fresh)/(pressure-fresh), 1)
+}
+
 // underPressure rejects so many of the requests for a target that the rest is
 // what it can serve. The others come back at different times, not together.
 func (b *Board) underPressure(now time.Duration, t *target, r *Request) (Decision, bool) {
@@ -78,7 +94,13 @@
 	}
 	turn := b.turnOf(t.turns)
 	t.turns++
-	if turn < admittedLoad/t.pressure {
+	late := r.late(b.serviceTime(t))
+	share := 0.0
+	if late {
+		share = 1
+	}
+	t.lateShare += lateShareWeight * (share - t.lateShare)
+	if turn < admitted(t.pressure, t.lateShare, late) {
 		return Decision{}, false
 	}
 	d := b.expect(now, t)
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -24,6 +24,7 @@
 	service       string
 	key           int
 	deadline      time.Time
+	lostTime      time.Duration // by earlier tries of the caller, as far as known
 	configVersion uint64
 
 	decision dispatch.Decision
@@ -94,7 +95,7 @@
 	}
 	r := &dispatch.Request{
 		Service: c.service, Kind: c.route.Kind, Key: c.key, Left: left, Objective: c.route.Objective,
-		Waited: time.Since(c.in.Arrived), Tried: c.tried, Repeat: c.sent > 0,
+		Waited: time.Since(c.in.Arrived), Lost: c.lostTime, Tried: c.tried, Repeat: c.sent > 0,
 	}
 	d, changed := c.f.shared.choose(r)
 	c.decision = d
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -84,8 +84,9 @@
 		return &ingress.Response{Status: http.StatusNotFound, Header: http.Header{}}
 	}
 	left := route.Timeout
-	if d, ok := f.platform.ParseDeadline(r.Header.Get(f.headers.Deadline)); ok {
-		left = min(left, d)
+	said, ok := f.platform.ParseDeadline(r.Header.Get(f.headers.Deadline))
+	if ok {
+		left = min(left, said)
 	}
 	c := &call{
 		f: f, in: r, route: route, key: shardKey(r.Header.Get(f.headers.ShardKey)),
@@ -95,7 +96,7 @@
 	if !config.Services[c.service].Partitioned {
 		c.key = -1
 	}
-	f.shared.request(c.service, c.key)
+	c.lostTime = f.shared.arrived(&dispatch.Request{Service: c.service, Kind: route.Kind, Key: c.key, Left: said})
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	return c.run(ctx)
@@ -163,7 +164,8 @@
 	if c != nil {
 		d := &c.decision
 		kind = c.route.Kind.String()
-		e = e.Str("target", d.Target.ID).Float64("target_load", d.Load).Dur("expected_ms", d.Expected).Dur("report_age_ms", d.ReportAge)
+		e = e.Str("target", d.Target.ID).Float64("target_load", d.Load).Dur("expected_ms", d.Expected).
+			Dur("report_age_ms", d.ReportAge).Dur("lost_ms", c.lostTime)
 	}
 	e.Send()
 	f.metrics.answered(kind, reason, time.Since(r.Arrived))
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -78,20 +78,20 @@
 	return d, s.changed
 }
 
-// request counts a request of a caller.
-func (s *shared) request(service string, key int) {
+// arrived counts a request of a caller, and returns the time that the caller has lost by
+// earlier tries.
+func (s *shared) arrived(r *dispatch.Request) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.Request(socket.BootTime(), service)
-	if key < 0 {
-		return
-	}
-	counts := s.keys[service]
-	if counts == nil {
-		counts = map[int]int{}
-		s.keys[service] = counts
+	if r.Key >= 0 {
+		counts := s.keys[r.Service]
+		if counts == nil {
+			counts = map[int]int{}
+			s.keys[r.Service] = counts
+		}
+		counts[r.Key]++
 	}
-	counts[key]++
+	return s.board.Arrived(socket.BootTime(), r)
 }
 
 // moved notes the bytes of the bodies of one exchange.
