Switch off each deciding mechanism by name, to measure what it is worth

Cause: nobody knew which of eleven mechanisms of the decisions pay, and at which sizes; each was measured once, when it came.

Ruled out: settings of the platform's file, whose format is not the project's; constants patched in copies, which nobody repeats.

--- a/cmd/boragegate-edge/main.go
+++ b/cmd/boragegate-edge/main.go
@@ -9,12 +9,14 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/boragegate/boragegate"
+	"github.com/boragegate/boragegate/dispatch"
 	"github.com/boragegate/boragegate/internal/deployment"
 	"github.com/boragegate/boragegate/internal/edge"
 	"github.com/boragegate/boragegate/internal/logging"
@@ -39,12 +41,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	module := platform.ModuleID
+	var without []string
 	cmd := &cobra.Command{
 		Use: "boragegate-edge", Short: "Entry instance that sends requests straight to backend servers",
 		SilenceUsage: true, Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), module) },
+		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), module, without) },
 	}
 	cmd.Flags().StringVar(&module, "deployment", module, "module that translates for the platform")
+	cmd.Flags().StringSliceVar(&without, "without", nil, "mechanisms to switch off, to measure their worth: "+strings.Join(dispatch.Mechanisms(), ", "))
 	cmd.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check the settings and report all findings", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -101,7 +105,11 @@
 	return edge.ReadOwnership(ctx, p)
 }
 
-func serve(ctx context.Context, module string) error {
+func serve(ctx context.Context, module string, without []string) error {
+	policy, err := dispatch.Without(without...)
+	if err != nil {
+		return err
+	}
 	p, err := boragegate.LoadAs[deployment.Platform](ctx, module, nil)
 	if err != nil {
 		return err
@@ -110,6 +118,7 @@
 	if err != nil {
 		return err
 	}
+	s.Policy = policy
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -167,6 +167,7 @@
 
 // Board has the targets of all services and who holds which keys.
 type Board struct {
+	policy   Policy
 	zone     string
 	services map[string][]*target
 	byID     map[routing.Lifetime]*target
@@ -198,6 +199,9 @@
 	}
 }
 
+// SetPolicy sets which mechanisms are switched off.
+func (b *Board) SetPolicy(p Policy) { b.policy = p }
+
 // SetSlack sets this instance's share of the slack.
 func (b *Board) SetSlack(slack float64) {
 	b.budget.Slack = slack
@@ -279,7 +283,7 @@
 
 func (b *Board) chooseOwner(now time.Duration, r *Request, owners []routing.Owner) Decision {
 	if len(owners) == 0 {
-		return hold(r, "owners_unknown", noHolderWait)
+		return b.hold(r, "owners_unknown", noHolderWait)
 	}
 	o := find(owners, r.Key)
 	if o == nil || !o.Ready {
@@ -287,11 +291,11 @@
 		if o != nil {
 			wait = o.Wait
 		}
-		return hold(r, "keys_moving", wait)
+		return b.hold(r, "keys_moving", wait)
 	}
 	t := b.byID[o.Holder]
 	if t == nil || t.Draining || t.left(now) {
-		return hold(r, "holder_leaving", noHolderWait)
+		return b.hold(r, "holder_leaving", noHolderWait)
 	}
 	if now < t.pausedUntil {
 		return b.waitForPause(now, t, r)
@@ -299,7 +303,7 @@
 	if now < t.ejected && !r.Repeat {
 		return reject(r, "holder_unreachable", t.ejected-now, b.expect(now, t))
 	}
-	if t.pressureKnown(now) {
+	if b.policy.On(ToldPressure) && t.pressureKnown(now) {
 		if d, rejected := b.underPressure(now, t, r); rejected {
 			return d
 		}
@@ -318,8 +322,8 @@
 // hold lets a request wait for its holder if that is expected soon enough to
 // leave half of the caller's time. A hand-over may take longer than expected, again
 // and again; then the caller is asked back instead.
-func hold(r *Request, reason string, wait time.Duration) Decision {
-	if wait > r.Left/2 || r.Waited > max(r.Objective, longestHold) {
+func (b *Board) hold(r *Request, reason string, wait time.Duration) Decision {
+	if !b.policy.On(Holding) || wait > r.Left/2 || r.Waited > max(r.Objective, longestHold) {
 		return reject(r, reason, wait, Decision{ReportAge: -1})
 	}
 	return Decision{Verdict: Hold, Reason: reason, RetryAfter: wait, ReportAge: -1}
@@ -373,10 +377,13 @@
 			}
 			d := b.expect(now, t)
 			cost := d.Expected
-			if t.Zone != b.zone {
+			if t.Zone != b.zone && b.policy.On(ZoneCost) {
 				cost += away
 			}
-			score := float64(cost) * (1 + failurePenalty*t.failureRate)
+			score := float64(cost)
+			if b.policy.On(FailureRate) {
+				score *= 1 + failurePenalty*t.failureRate
+			}
 			if now < t.fullUntil {
 				score += float64(t.fullUntil - now)
 			}
@@ -414,7 +421,7 @@
 // judge sends the request to the target unless it would be too late.
 func (b *Board) judge(now time.Duration, t *target, r *Request, d Decision) Decision {
 	limit := r.Left
-	if r.Objective > 0 && !r.Repeat {
+	if r.Objective > 0 && !r.Repeat && b.policy.On(EarlyRejection) {
 		limit = min(limit, b.longestWait(t, r))
 	}
 	if d.Load >= float64(t.Slots) && d.Expected > limit {
@@ -431,10 +438,14 @@
 // be on time. One that is late whatever happens gets what the others leave of a target.
 func (b *Board) longestWait(t *target, r *Request) time.Duration {
 	service := b.serviceTime(t)
-	if r.late(service) {
+	if b.policy.On(LateLast) && r.late(service) {
 		return time.Duration(backlogFactor * float64(r.Objective))
 	}
-	return max(time.Duration(lateFactor*float64(r.Objective))-r.Waited-r.Lost, 2*service)
+	left := time.Duration(lateFactor*float64(r.Objective)) - r.Waited
+	if b.policy.On(LateLast) {
+		left -= r.Lost
+	}
+	return max(left, 2*service)
 }
 
 // late reports whether a request misses its objective because of what its caller has lost.
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -19,7 +19,7 @@
 	} else {
 		d.Load += usual
 	}
-	if now < t.coldUntil {
+	if now < t.coldUntil && b.policy.On(ColdStart) {
 		service *= coldFactor
 	}
 	rounds := max(1, (d.Load+1)/float64(t.Slots))
--- a/dispatch/feedback.go
+++ b/dispatch/feedback.go
@@ -79,7 +79,7 @@
 			b.full(now, t)
 		}
 		t.failureRate += failureWeight * (1 - t.failureRate)
-		if t.failures++; t.failures >= ejectAfter {
+		if t.failures++; t.failures >= ejectAfter && b.policy.On(Ejection) {
 			t.ejected = now + ejectTime
 		}
 	case Misdirected, Abandoned:
--- a/dispatch/pressure.go
+++ b/dispatch/pressure.go
@@ -64,7 +64,7 @@
 // sooner than it has served its queue, so each waits for its share of that.
 func (b *Board) full(now time.Duration, t *target) {
 	share := time.Duration(float64(b.instances) * float64(b.serviceTime(t)) / float64(max(t.Slots, 1)))
-	if share <= reportHalfLife { // what it reports to this instance says more
+	if share <= reportHalfLife || !b.policy.On(FullShare) { // what it reports to this instance says more
 		t.fullUntil, t.queueFull = now+shedPause, false
 		return
 	}
@@ -94,7 +94,7 @@
 	}
 	turn := b.turnOf(t.turns)
 	t.turns++
-	late := r.late(b.serviceTime(t))
+	late := b.policy.On(LateLast) && r.late(b.serviceTime(t))
 	share := 0.0
 	if late {
 		share = 1
--- a/dispatch/subset.go
+++ b/dispatch/subset.go
@@ -61,7 +61,7 @@
 		own = max((coverage*len(all)+b.instances-1)/b.instances, leastSubset)
 	}
 	away := int(awayShare * float64(own))
-	if len(all) <= max(own+away, smallService) {
+	if len(all) <= max(own+away, smallService) || !b.policy.On(Subsets) {
 		s.list, s.whole = all, true
 		return s
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -9,6 +9,7 @@
 	"context"
 	"time"
 
+	"github.com/boragegate/boragegate/dispatch"
 	"github.com/boragegate/boragegate/finding"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/routing"
@@ -44,6 +45,9 @@
 	MaxHold time.Duration
 	// Retries bounds repeated requests of all instances together.
 	Retries RetryBudget
+	// Policy says which mechanisms of the decisions are switched off. It is not the
+	// platform's to set.
+	Policy dispatch.Policy
 }
 
 // RetryBudget bounds the requests that reach a service more than once: in any
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -102,7 +102,7 @@
 	switch d.Verdict {
 	case dispatch.Send:
 		c.start(ctx, d.Target, left)
-		if !c.mayRepeat() {
+		if !c.mayRepeat() || !c.f.shared.policy.On(dispatch.Hedging) {
 			return 0, nil
 		}
 		return max(time.Duration(hedgeFactor*float64(d.Expected)), shortestHedge), nil
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -325,7 +325,7 @@
 		c.log.Info().Str("event", "target.leaving_told").Str("target", id.ID).Int64("incarnation", id.Incarnation).Bool("leads", c.lead != nil).Send()
 	}
 	if c.lead != nil {
-		c.lead.targetsLeave(now, news)
+		c.lead.targetsLeave(news)
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,7 +96,7 @@
 	logLost(func() { i.metrics.logLost.Inc(1) })
 	i.shared = newShared(s.Zone, dispatch.RepeatBudget{
 		Ratio: s.Retries.Ratio, Slack: float64(s.Retries.Slack) / assumedInstances, Window: s.Retries.Window,
-	})
+	}, s.Policy)
 	i.client = &upstream.Client{
 		IDHeader: p.Headers().RequestID, MaxConnections: i.maxConnections, OnDial: func() { i.metrics.dials.Inc(1) },
 	}
@@ -264,6 +264,9 @@
 		case <-ticker.C:
 		}
 		s, err := i.platform.Settings()
+		if err == nil {
+			s.Policy = current.Policy // the command line's
+		}
 		switch {
 		case err != nil:
 			i.log.Warn().Str("event", "settings.unreadable").Bool("signalled", signalled).Err(err).Send()
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -152,7 +152,7 @@
 }
 
 // targetsLeave lets the keys of targets that leave be moved, and tells the followers.
-func (l *leadership) targetsLeave(now time.Duration, ids []routing.Lifetime) {
+func (l *leadership) targetsLeave(ids []routing.Lifetime) {
 	var put []routing.Target
 	for _, t := range l.c.targets.inUse {
 		if slices.Contains(ids, t.Lifetime()) {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -20,6 +20,8 @@
 	// instances is the number of instances that share the limits of targets.
 	instances atomic.Int64
 
+	policy dispatch.Policy
+
 	mu    sync.Mutex
 	board *dispatch.Board
 	// changed closes when targets or owners change.
@@ -35,9 +37,10 @@
 // leaves: reports may be lost with a leader, and another leads within seconds.
 const leavingTold = 5 * time.Second
 
-func newShared(zone string, budget dispatch.RepeatBudget) *shared {
-	s := &shared{board: dispatch.NewBoard(zone, budget), changed: make(chan struct{}), keys: map[string]map[int]int{}, leaving: map[routing.Lifetime]time.Duration{}}
+func newShared(zone string, budget dispatch.RepeatBudget, policy dispatch.Policy) *shared {
+	s := &shared{policy: policy, board: dispatch.NewBoard(zone, budget), changed: make(chan struct{}), keys: map[string]map[int]int{}, leaving: map[routing.Lifetime]time.Duration{}}
 	s.instances.Store(assumedInstances)
+	s.board.SetPolicy(policy)
 	s.board.SetPhase(rand.Float64()) //nolint:gosec // not a secret
 	return s
 }
--- a/ownership/election/election_test.go
+++ b/ownership/election/election_test.go
@@ -127,8 +127,7 @@
 	if f.storeDown || m.noStore {
 		return
 	}
-	list := append(f.earlier, f.record)
-	for _, r := range slices.Backward(list) {
+	for _, r := range slices.Backward(append(slices.Clone(f.earlier), f.record)) {
 		if r.leader.ID != "" && r.since <= f.now-staleAge {
 			m.e.SetCandidates(r.candidates)
 			m.e.SetInstances(len(f.members))
