Hedge only into free slots, and take an old record for no sign of life

A key has one holder, so a request that takes long there was sent to the same, busy target once more. Reading the change again also found that the look at an old record counted as word that its leader lives, which would keep others from taking over as long as an instance without candidates looks each second.

Change: a request is sent once more beside a running attempt only if its target is expected to have a free slot. A look adopts only a leader of a later term. Pauses on a request's path end with the request; lines of these events are bounded as others.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -108,8 +108,8 @@
 	Waited, Lost time.Duration
 	// Tried are the targets that got the request before.
 	Tried []string
-	// Repeat says that the request was sent before.
-	Repeat bool
+	// Repeat says that the request was sent before, Hedge that an attempt still runs.
+	Repeat, Hedge bool
 }
 
 // Decision is a verdict with what led to it.
@@ -271,6 +271,10 @@
 	} else {
 		d = b.chooseAny(now, r)
 	}
+	if d.Verdict == Send && r.Hedge && d.Load >= float64(d.Target.Slots) {
+		// In a queue it would only delay others, at the holder of a key the attempt itself.
+		return reject(r, "no_free_slot", d.Queue, d)
+	}
 	if d.Verdict == Send && r.Repeat && !b.budgetOf(r.Service).Take(now) {
 		// The caller's own next try counts as a new request, which the target may take.
 		d = reject(r, "repeat_budget", d.Queue, d)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -278,6 +278,23 @@
 		Expect(b.Choose(0, r).Verdict).To(Equal(dispatch.Reject))
 	})
 
+	It("sends a request once more beside an attempt only where a slot is free", func() {
+		// Guards against hedges that fill the queue of a key's holder: on entoto-gate they
+		// cost more requests their objective than they saved.
+		b.SetOwners("svc", []routing.Owner{{Span: routing.Span{To: routing.Keys - 1}, Holder: a.Lifetime(), Ready: true}})
+		busy := a
+		busy.Slots = 2
+		b.SetTargets(0, []routing.Target{busy, z})
+		r := keyed(7)
+		b.Started(a.Lifetime())
+		r.Repeat, r.Hedge = true, true
+		Expect(b.Choose(0, r).Verdict).To(Equal(dispatch.Send))
+		b.Started(a.Lifetime())
+		Expect(b.Choose(0, r).Verdict).To(Equal(dispatch.Reject))
+		r.Hedge = false // the attempt before has failed
+		Expect(b.Choose(0, r).Verdict).To(Equal(dispatch.Send))
+	})
+
 	It("asks a caller back whose key stays on the move", func() {
 		// Guards against requests that are held to their deadlines because a hand-over is
 		// always expected within 0.15 s (large trouble-1: 12,000 callers).
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -12,8 +12,8 @@
 
 // Mechanisms.
 const (
-	// Hedging sends a request that may run again to another target when the first one
-	// takes clearly longer than expected.
+	// Hedging sends a request that may run again once more when the first attempt takes
+	// clearly longer than expected.
 	Hedging Mechanism = iota
 	// Ejection leaves out targets that did not answer several requests in a row.
 	Ejection
@@ -44,9 +44,6 @@
 	"early-rejection", "late-last", "holding",
 }
 
-// String returns the name of the mechanism in settings.
-func (m Mechanism) String() string { return mechanismNames[m] }
-
 // Mechanisms returns the names of all mechanisms.
 func Mechanisms() []string { return slices.Clone(mechanismNames[:]) }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -13,6 +13,7 @@
 	"github.com/boragegate/boragegate/internal/httpwire"
 	"github.com/boragegate/boragegate/internal/ingress"
 	"github.com/boragegate/boragegate/internal/upstream"
+	"github.com/boragegate/boragegate/internal/wait"
 	"github.com/boragegate/boragegate/routing"
 )
 
@@ -95,7 +96,7 @@
 	}
 	r := &dispatch.Request{
 		Service: c.service, Kind: c.route.Kind, Key: c.key, Left: left, Objective: c.route.Objective,
-		Waited: time.Since(c.in.Arrived), Lost: c.lostTime, Tried: c.tried, Repeat: c.sent > 0,
+		Waited: time.Since(c.in.Arrived), Lost: c.lostTime, Tried: c.tried, Repeat: c.sent > 0, Hedge: c.running > 0,
 	}
 	d, changed := c.f.shared.choose(r)
 	c.decision = d
@@ -221,7 +222,7 @@
 	id, h := a.target.Lifetime(), a.response.Header
 	if f.platform.ParseLeaving(h.Get(f.headers.Leaving)) && f.shared.leave(id) {
 		f.metrics.leaving.Inc(1)
-		f.log.Info().Str("event", "target.leaving").Str("target", id.ID).Int64("incarnation", id.Incarnation).Send()
+		f.log.Begin(zerolog.InfoLevel, "target.leaving").Str("target", id.ID).Int64("incarnation", id.Incarnation).Send()
 	}
 	if a.response.Status != http.StatusServiceUnavailable {
 		return
@@ -229,12 +230,12 @@
 	pause, err := httpwire.RetryAfter(h, time.Now())
 	if err != nil {
 		f.metrics.badPauses.Inc(1)
-		f.log.Warn().Str("event", "target.pause_unreadable").Str("target", id.ID).Dur("used_ms", pause).Err(err).Send()
+		f.log.Begin(zerolog.WarnLevel, "target.pause_unreadable").Str("target", id.ID).Dur("used_ms", pause).Err(err).Send()
 	}
 	if pause > 0 {
 		f.shared.pause(id, pause)
 		f.metrics.pauses.Inc(1)
-		f.log.Info().Str("event", "target.paused").Str("target", id.ID).Int64("incarnation", id.Incarnation).Dur("for_ms", pause).Send()
+		f.log.Begin(zerolog.InfoLevel, "target.paused").Str("target", id.ID).Int64("incarnation", id.Incarnation).Dur("for_ms", pause).Send()
 	}
 }
 
@@ -279,14 +280,14 @@
 		}
 		return c.pass(a), false
 	case dispatch.Shed, dispatch.Misdirected:
-		return c.notRun(a)
+		return c.notRun(ctx, a)
 	default:
 		return c.lost(ctx, a)
 	}
 }
 
 // notRun handles an answer that says that the target did not run the request.
-func (c *call) notRun(a *attempt) (*ingress.Response, bool) {
+func (c *call) notRun(ctx context.Context, a *attempt) (*ingress.Response, bool) {
 	c.drop(a)
 	if a.response.Status == http.StatusBadRequest && a.result == dispatch.Shed {
 		return c.pass(a), false
@@ -294,7 +295,7 @@
 	c.log(a).Send()
 	if c.sent < c.route.MaxAttempts && c.in.Rest == nil || c.running > 0 {
 		if a.result == dispatch.Misdirected {
-			time.Sleep(unsentPause) // the news of the new holder is on its way
+			wait.For(unsentPause, ctx.Done()) // the news of the new holder is on its way
 		}
 		return nil, true
 	}
@@ -326,7 +327,7 @@
 		c.unsent++
 		if c.unsent < maxUnsent {
 			if c.key >= 0 {
-				time.Sleep(unsentPause)
+				wait.For(unsentPause, ctx.Done())
 			}
 			return nil, true
 		}
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -180,7 +180,10 @@
 				return
 			}
 			c.adoptCandidates(r)
-			c.toldLeader(&leads{Term: r.Term, Leader: r.Leader})
+			// An old record is no sign of life of a leader that is known already.
+			if r.Leader.ID != c.self.ID && (c.record == nil || r.Term > c.term) {
+				c.adoptLeader(r.Term, r.Leader)
+			}
 		})
 		return nil
 	})
--- a/internal/edge/link.go
+++ b/internal/edge/link.go
@@ -244,6 +244,7 @@
 	}
 	c.reportedAt = now
 	took := c.shared.takeLoad()
+	c.targetsLeave(now, took.Leaving)
 	if c.link == nil {
 		return
 	}
