Log and count the rate limits that targets name in their responses

The logs and metrics could not tell whether an instance read a limit at all, or read it and kept it alone. Each instance now reads the header, logs when a limit comes into force, changes or ends with its value and age, and counts limits and malformed values. Nothing is limited yet.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"slices"
 	"time"
 
+	"github.com/boragegate/boragegate/ratelimit"
 	"github.com/boragegate/boragegate/routing"
 )
 
@@ -160,6 +161,7 @@
 	leavingAt time.Duration
 	// pausedUntil is the end of the pause that the target has asked for.
 	pausedUntil time.Duration
+	rateLimit   ratelimit.Limit
 	// offeredLoad is the offered load received at offeredLoadAt, relative to capacity; 0 if the target is not
 	// overloaded.
 	offeredLoad float64
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -12,6 +12,7 @@
 	"github.com/boragegate/boragegate/dispatch"
 	"github.com/boragegate/boragegate/internal/httpwire"
 	"github.com/boragegate/boragegate/internal/ingress"
+	"github.com/boragegate/boragegate/internal/socket"
 	"github.com/boragegate/boragegate/internal/upstream"
 	"github.com/boragegate/boragegate/internal/wait"
 	"github.com/boragegate/boragegate/routing"
@@ -47,6 +48,7 @@
 // attempt is one exchange with a target.
 type attempt struct {
 	target   routing.Target
+	sentAt   time.Duration // as socket.BootTime
 	result   dispatch.Result
 	response *upstream.Response
 	err      error
@@ -157,7 +159,7 @@
 	}
 	request := c.upstreamRequest(&t, remaining)
 	go func() {
-		a := attempt{target: t}
+		a := attempt{target: t, sentAt: socket.BootTime()}
 		started := time.Now()
 		a.response, a.err = c.f.client.Do(ctx, &t, request)
 		a.notSent = errors.Is(a.err, upstream.ErrNotSent)
@@ -223,12 +225,13 @@
 }
 
 // observeResponse applies what a response says about its target besides the load: that it
-// is leaving, or that it asks for a pause (Retry-After). The response to a misdirected
+// is leaving, that it limits the rate of requests, or that it asks for a pause (Retry-After). The response to a misdirected
 // request is ignored, because it may come from another target.
 func (f *forwarder) observeResponse(a *attempt) {
 	if a.err != nil || a.result == dispatch.Misdirected {
 		return
 	}
+	f.observeRateLimit(a)
 	id, h := a.target.Lifetime(), a.response.Header
 	if f.platform.ParseLeaving(h.Get(f.headers.Leaving)) && f.shared.markLeaving(id) {
 		f.metrics.leavingTargets.Inc(1)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -30,6 +30,10 @@
 	leavingTargets      gometrics.Counter
 	pauses              gometrics.Counter
 	unreadablePauses    gometrics.Counter
+	// rateLimits counts the rate limits that responses to this instance set or changed, and unreadableRateLimits
+	// the responses with a rate limit that is malformed or too high.
+	rateLimits           gometrics.Counter
+	unreadableRateLimits gometrics.Counter
 }
 
 func newInstanceMetrics() *instanceMetrics {
@@ -53,6 +57,9 @@
 		leavingTargets:      counter("boragegate_targets_leaving_total"),
 		pauses:              counter("boragegate_target_pauses_total"),
 		unreadablePauses:    counter("boragegate_target_pauses_unreadable_total"),
+
+		rateLimits:           counter("boragegate_target_rate_limits_total"),
+		unreadableRateLimits: counter("boragegate_target_rate_limits_unreadable_total"),
 	}
 }
 
