--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,6 +110,10 @@
 	// Elapsed is the time since the request arrived. PriorElapsed is the time that its caller had spent on
 	// earlier attempts, which were rejected, as estimated by RecordArrival.
 	Elapsed, PriorElapsed time.Duration
+	// Priority is the priority of the route; 0 is the highest.
+	Priority int
+	// Ticket is the Ticket of the last decision; zero if the request was not held for a permit.
+	Ticket ratelimit.Ticket
 	// TriedTargets has the IDs of the targets that the request was sent to before.
 	TriedTargets []string
 	// IsRetry is set if the request was sent before, IsHedge if an earlier attempt is still in progress.
@@ -133,6 +137,11 @@
 	ExpectedLatency, ExpectedQueueTime time.Duration
 	// ReportAge is the age of the last load report of the target; -1 if there is none.
 	ReportAge time.Duration
+	// LimitPerSecond is the rate limit of the target in requests per second; 0 if it did not affect the decision.
+	LimitPerSecond float64
+	// Ticket is set for a Hold because of the rate limit of the target. It has to be passed to the next Choose, or to
+	// StopAwaitingPermit if the request ends.
+	Ticket ratelimit.Ticket
 }
 
 // targetState is what this instance knows about one lifetime of a target.
@@ -161,7 +170,7 @@
 	leavingAt time.Duration
 	// pausedUntil is the end of the pause that the target has asked for.
 	pausedUntil time.Duration
-	rateLimit   ratelimit.Limit
+	permits     ratelimit.Permits // what is known about its rate limit, and this instance's part in it
 	// offeredLoad is the offered load received at offeredLoadAt, relative to capacity; 0 if the target is not
 	// overloaded.
 	offeredLoad float64
@@ -206,6 +215,10 @@
 	instanceCount int
 	// seed is the seed of the hash that ranks targets for the subset. It differs between instances.
 	seed uint64
+	// limited has the targets that have named a rate limit, whether or not it is still in force.
+	limited map[routing.Lifetime]*targetState
+	// permitLeaderUntil is the time until which a leader is known to grant permits for targets with a rate limit.
+	permitLeaderUntil time.Duration
 }
 
 // NewBalancer returns a balancer for an instance in the zone. Each service gets a copy of budgetTemplate, whose
@@ -214,7 +227,7 @@
 	return &Balancer{
 		zone: zone, services: map[string][]*targetState{}, byID: map[routing.Lifetime]*targetState{},
 		owners: map[string][]routing.Owner{}, retryBudgets: map[string]*RetryBudget{}, budgetTemplate: budgetTemplate, averageLoads: map[string]*cachedLoad{},
-		exchangeSizes: map[trafficClass]float64{}, callerTimeouts: map[trafficClass]*timeoutEstimator{}, lastRejection: map[string]time.Duration{}, subsets: map[string]*subset{},
+		exchangeSizes: map[trafficClass]float64{}, callerTimeouts: map[trafficClass]*timeoutEstimator{}, lastRejection: map[string]time.Duration{}, subsets: map[string]*subset{}, limited: map[routing.Lifetime]*targetState{},
 	}
 }
 
@@ -253,6 +266,7 @@
 	for _, id := range removed {
 		if t := b.byID[id]; t != nil {
 			delete(b.byID, id)
+			delete(b.limited, id)
 			b.removeFromService(t)
 		}
 	}
@@ -286,6 +300,17 @@
 // Choose decides what happens to a request. A retry that is to be sent is counted against the
 // budget of its service.
 func (b *Balancer) Choose(now time.Duration, r *Request) Decision {
+	d := b.decide(now, r)
+	if r.Ticket != d.Ticket {
+		b.StopAwaitingPermit(r.Ticket)
+	}
+	if d.Verdict == Reject {
+		b.lastRejection[r.Service] = now
+	}
+	return d
+}
+
+func (b *Balancer) decide(now time.Duration, r *Request) Decision {
 	var d Decision
 	if r.Key >= 0 {
 		d = b.chooseForKey(now, r, b.owners[r.Service])
@@ -296,12 +321,13 @@
 		// A hedged attempt in a queue delays other requests and, at the holder of a key, the first attempt.
 		return reject(r, "no_free_slot", d.ExpectedQueueTime, d)
 	}
+	if d.Verdict == Send {
+		d = b.limitRate(now, r, d)
+	}
 	if d.Verdict == Send && r.IsRetry && !b.retryBudget(r.Service).Allow(now) {
+		b.giveBackPermit(now, d.Target.Lifetime())
 		// The caller is told to retry. Its next attempt is a new request, which this budget does not limit.
-		d = reject(r, "repeat_budget", d.ExpectedQueueTime, d)
-	}
-	if d.Verdict == Reject {
-		b.lastRejection[r.Service] = now
+		return reject(r, "repeat_budget", d.ExpectedQueueTime, d)
 	}
 	return d
 }
@@ -328,6 +354,10 @@
 	if now < t.ejectedUntil && !r.IsRetry {
 		return reject(r, "holder_unreachable", t.ejectedUntil-now, b.estimate(now, t))
 	}
+	if t.permits.InForce() {
+		// Permits keep the rate below the limit more accurately than the offered load and the backoff do.
+		return b.sendOrReject(now, t, r, b.estimate(now, t))
+	}
 	if b.policy.Enabled(OfferedLoadAdmission) && t.isOverloaded(now) {
 		if d, rejected := b.rejectOverload(now, t, r); rejected {
 			return d
@@ -375,7 +405,7 @@
 	var d Decision
 	var t *targetState
 	for _, list := range lists {
-		if d, t = b.chooseFrom(now, r, list); t != nil && !exceedsSubsetLatency(r, d) {
+		if d, t = b.chooseFrom(now, r, list); t != nil && !exceedsSubsetLatency(r, d) && !b.lacksPermit(now, t, r) {
 			break
 		}
 	}
@@ -385,7 +415,13 @@
 		}
 		return reject(r, "no_target", defaultHandoverTime, Decision{ReportAge: -1})
 	}
-	return b.sendOrReject(now, t, r, d)
+	d = b.sendOrReject(now, t, r, d)
+	if d.Verdict == Reject {
+		if limited := b.earliestPermit(now, r); limited != nil {
+			return b.sendOrReject(now, limited, r, b.estimate(now, limited))
+		}
+	}
+	return d
 }
 
 // chooseFrom returns the target of the list with the lowest score and the estimate for it, or nil if
@@ -404,8 +440,16 @@
 			if !t.isCandidate(now, level) || slices.Contains(r.TriedTargets, t.ID) {
 				continue
 			}
+			permitWait := time.Duration(0)
+			if b.lacksPermit(now, t, r) {
+				t.permits.WantSpare(now)
+				if level < includeRateLimited {
+					continue
+				}
+				permitWait, _ = t.permits.Wait(now, ratelimit.ClassOf(r.Priority), b.coordination(now))
+			}
 			d := b.estimate(now, t)
-			cost := d.ExpectedLatency
+			cost := d.ExpectedLatency + permitWait
 			if t.Zone != b.zone && b.policy.Enabled(ZoneCost) {
 				cost += zoneCost
 			}
@@ -429,8 +473,10 @@
 type fallbackLevel int
 
 const (
-	// healthyTargets are neither ejected nor leaving.
+	// healthyTargets are neither ejected nor leaving, and have no rate limit that the request would have to wait for.
 	healthyTargets fallbackLevel = iota
+	// includeRateLimited adds targets with a rate limit that the request has to wait for.
+	includeRateLimited
 	// includeEjected adds ejected targets.
 	includeEjected
 	// includeLeaving adds leaving targets whose grace period has not expired.
--- /dev/null
+++ b/dispatch/ratelimit_test.go
@@ -0,0 +1,392 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragegate/boragegate/dispatch"
+	"github.com/boragegate/boragegate/ratelimit"
+	"github.com/boragegate/boragegate/routing"
+)
+
+const (
+	// limitLinkDelay is the time that a message takes between a follower and the leader.
+	limitLinkDelay = 3 * time.Millisecond
+	// limitTick is the interval of the control loop.
+	limitTick = 50 * time.Millisecond
+	// limitWindow is the length of any span for which the bound on a limited target holds, from limitTakesEffect after
+	// the first response with the limit.
+	limitWindow      = 4 * time.Second
+	limitTakesEffect = 3 * time.Second
+	// promptRejection is the time within which requests that cannot be served are rejected. It covers an exchange with
+	// the leader.
+	promptRejection = 20 * time.Millisecond
+)
+
+// limitedService simulates a service whose target "t0" names a rate limit, with instances that exchange limits and permits
+// with a leader as package edge does. Instance 0 leads.
+type limitedService struct {
+	*model
+	allocator *ratelimit.Allocator[int] // nil while there is no leader
+	// nextGrantAt is the time at which the leader grants the next permits.
+	nextGrantAt time.Duration
+	cutOff      func(instance int) bool
+	// perSecond is the limit that the target names; negative if it names none.
+	perSecond float64
+	limited   *server
+	arrivals  []time.Duration // at the limited target
+	held      []map[*heldRequest]struct{}
+	served    map[int]int // requests that were served, by priority
+	rejected  map[int]int
+	// slowestRejection is the longest time from the arrival of a request to its rejection, and lateRejections the number
+	// of requests that waited for promptRejection or longer before.
+	slowestRejection time.Duration
+	lateRejections   int
+}
+
+// heldRequest is a request that waits for a permit.
+type heldRequest struct{ decideAgain func() }
+
+func newLimitedService(instances int, perSecond float64, servers ...*server) *limitedService {
+	s := &limitedService{
+		model: newModel(instances, servers...), allocator: ratelimit.NewAllocator[int](), cutOff: func(int) bool { return false },
+		perSecond: perSecond, limited: servers[0], held: make([]map[*heldRequest]struct{}, instances), served: map[int]int{}, rejected: map[int]int{},
+	}
+	for i := range s.held {
+		s.held[i] = map[*heldRequest]struct{}{}
+	}
+	s.after(0, s.tick)
+	return s
+}
+
+// connected reports whether an instance and the leader reach each other.
+func (s *limitedService) connected(i int) bool {
+	return s.allocator != nil && (i == 0 || !s.cutOff(i))
+}
+
+func (s *limitedService) tick() {
+	for i, b := range s.balancers {
+		b.SetPermitLeader(s.now, s.connected(i))
+		s.askForPermits(i)
+	}
+	s.grantQueued()
+	s.after(limitTick, s.tick)
+}
+
+// grantQueued sends the permits that have become available, now and when the next ones are.
+func (s *limitedService) grantQueued() {
+	if s.allocator == nil {
+		return
+	}
+	for i, grants := range s.allocator.Tick(s.now) {
+		s.grant(i, grants...)
+	}
+	if wait, ok := s.allocator.UntilNext(); ok && (s.nextGrantAt <= s.now || s.now+wait < s.nextGrantAt) {
+		s.nextGrantAt = s.now + max(wait, time.Millisecond)
+		s.after(max(wait, time.Millisecond), s.grantQueued)
+	}
+}
+
+// tell delivers a message between instance i and the leader if they reach each other.
+func (s *limitedService) tell(i int, deliver func()) {
+	allocator := s.allocator
+	s.after(limitLinkDelay, func() {
+		if s.connected(i) && s.allocator == allocator {
+			deliver()
+		}
+	})
+}
+
+func (s *limitedService) askForPermits(i int) {
+	for _, request := range s.balancers[i].TakePermitRequests(s.now) {
+		s.tell(i, func() {
+			for recipient, grant := range s.allocator.Request(s.now, i, &request) {
+				s.grant(recipient, grant)
+			}
+			s.grantQueued()
+		})
+	}
+}
+
+func (s *limitedService) grant(i int, grants ...ratelimit.Grant) {
+	s.tell(i, func() {
+		s.balancers[i].ApplyPermits(s.now, grants)
+		for h := range s.held[i] {
+			h.decideAgain()
+		}
+	})
+}
+
+// report tells the leader what instance i has learned, and the leader all others.
+func (s *limitedService) report(i int, l ratelimit.Limit) {
+	id := s.limited.Lifetime()
+	notice := l.Notice(s.now, id)
+	s.tell(i, func() {
+		known, _ := s.balancers[0].MergeRateLimit(s.now, &notice)
+		s.setLimit(known)
+		notice := known.Notice(s.now, id)
+		for other, b := range s.balancers {
+			s.tell(other, func() { b.MergeRateLimit(s.now, &notice) })
+		}
+	})
+}
+
+func (s *limitedService) setLimit(l ratelimit.Limit) {
+	if l.InForce() {
+		s.allocator.SetLimit(s.now, s.limited.Lifetime(), l.PerSecond)
+	} else {
+		s.allocator.RemoveLimit(s.limited.Lifetime())
+	}
+}
+
+// replaceLeader starts a new leader that knows the limits but nothing of the permits that were granted.
+func (s *limitedService) replaceLeader() {
+	s.allocator = ratelimit.NewAllocator[int]()
+	s.setLimit(s.balancers[0].RateLimit(s.limited.Lifetime()))
+	for _, b := range s.balancers {
+		b.SetPermitLeader(s.now, false)
+	}
+}
+
+// offerTo sends copies of a request to random instances until the given time.
+func (s *limitedService) offerTo(perSecond float64, until time.Duration, r dispatch.Request) {
+	gap := time.Duration(s.rand.ExpFloat64() / perSecond * float64(time.Second))
+	if s.now+gap > until {
+		return
+	}
+	s.after(gap, func() {
+		s.decide(s.rand.IntN(len(s.balancers)), r, s.now, &heldRequest{})
+		s.offerTo(perSecond, until, r)
+	})
+}
+
+// decide decides on a request that arrived at instance i at the given time.
+func (s *limitedService) decide(i int, r dispatch.Request, arrivedAt time.Duration, h *heldRequest) {
+	b := s.balancers[i]
+	delete(s.held[i], h)
+	r.Elapsed = s.now - arrivedAt
+	d := b.Choose(s.now, &r)
+	switch d.Verdict {
+	case dispatch.Reject:
+		s.rejected[r.Priority]++
+		s.slowestRejection = max(s.slowestRejection, r.Elapsed)
+		if r.Elapsed >= promptRejection {
+			s.lateRejections++
+		}
+	case dispatch.Hold:
+		r.Ticket = d.Ticket
+		pending := &heldRequest{}
+		pending.decideAgain = func() { s.decide(i, r, arrivedAt, pending) }
+		s.held[i][pending] = struct{}{}
+		s.askForPermits(i)
+		s.after(min(d.RetryAfter, 100*time.Millisecond), func() {
+			if _, waits := s.held[i][pending]; waits {
+				pending.decideAgain()
+			}
+		})
+	case dispatch.Send:
+		s.send(i, d.Target, r.Priority)
+	}
+}
+
+func (s *limitedService) send(i int, t routing.Target, priority int) {
+	b, id, sentAt := s.balancers[i], t.Lifetime(), s.now
+	isLimited := id == s.limited.Lifetime()
+	if isLimited {
+		s.arrivals = append(s.arrivals, s.now)
+	}
+	s.sent[t.ID]++
+	b.StartAttempt(id)
+	target := s.servers[id]
+	s.serve(target, func() {
+		s.served[priority]++
+		b.FinishAttempt(s.now, id, dispatch.Succeeded, s.now-sentAt, &dispatch.TargetLoad{Running: target.running, Waiting: len(target.waiting)})
+		if !isLimited {
+			return
+		}
+		var l ratelimit.Limit
+		var changed bool
+		if s.perSecond >= 0 {
+			l, changed = b.RecordRateLimit(s.now, id, s.perSecond)
+		} else {
+			l, changed = b.RecordNoRateLimit(sentAt, id)
+		}
+		if changed {
+			s.report(i, l)
+		}
+	})
+}
+
+// serve runs a request at a target when it has a free slot.
+func (s *limitedService) serve(t *server, done func()) {
+	if t.running >= t.Slots {
+		t.waiting = append(t.waiting, done)
+		return
+	}
+	t.running++
+	s.after(t.meanServiceTime, func() {
+		t.running--
+		done()
+		if len(t.waiting) > 0 {
+			next := t.waiting[0]
+			t.waiting = t.waiting[1:]
+			s.serve(t, next)
+		}
+	})
+}
+
+// arrivalsBetween returns the number of requests that reached the limited target.
+func (s *limitedService) arrivalsBetween(from, to time.Duration) int {
+	n := 0
+	for _, at := range s.arrivals {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// expectWithinLimit checks the platform's bound on any limitWindow between two times.
+func (s *limitedService) expectWithinLimit(from, to time.Duration) {
+	GinkgoHelper()
+	allowed := 1.5*s.perSecond*limitWindow.Seconds() + 5
+	for _, at := range s.arrivals {
+		if at >= from {
+			Expect(float64(s.arrivalsBetween(at, min(at+limitWindow, to)))).To(BeNumerically("<=", allowed), "from %s", at)
+		}
+	}
+}
+
+// holderOfAll makes the server the holder of all keys at all instances.
+func (s *limitedService) holderOfAll(holder *server) {
+	for _, b := range s.balancers {
+		b.SetOwners("svc", []routing.Owner{{Span: routing.Span{To: routing.KeyCount - 1}, Holder: holder.Lifetime(), Ready: true}})
+	}
+}
+
+var _ = Describe("a target with a rate limit for all instances together", func() {
+	keyed := dispatch.Request{Service: "svc", Key: 7, Remaining: 2 * time.Second, Objective: 300 * time.Millisecond}
+	keyless := keyed
+	keyless.Key = -1
+	newServer := func(id string) *server {
+		return &server{Target: target(id, "z", 6), meanServiceTime: 90 * time.Millisecond}
+	}
+
+	for _, n := range []int{8, 30, 65, 300, 1000} {
+		for _, overload := range []float64{4, 40} {
+			It(fmt.Sprintf("receives its limit and no more from %d instances that have %.0f times as many requests for it", n, overload), func() {
+				// Guards against a limit of which each instance takes a part of its own: parts below one request a second
+				// add up to too much if they are rounded up, and to nothing if they are rounded down.
+				s := newLimitedService(n, 6, newServer("t0"))
+				s.holderOfAll(s.limited)
+				s.offerTo(overload*s.perSecond, 15*time.Second, keyed)
+				s.run(15 * time.Second)
+				used := float64(s.arrivalsBetween(limitTakesEffect, 15*time.Second)) / (s.perSecond * 12)
+				GinkgoWriter.Printf("n=%d used %.2f of the limit, %d of %d rejections are late, the slowest after %s\n", n, used, s.lateRejections, s.rejected[0], s.slowestRejection)
+				s.expectWithinLimit(limitTakesEffect, 15*time.Second)
+				Expect(used).To(BeNumerically(">", 0.85))
+				Expect(s.slowestRejection).To(BeNumerically("<", keyed.Objective))
+				Expect(float64(s.lateRejections)).To(BeNumerically("<=", 0.02*float64(s.rejected[0])), "requests wait although they cannot be served")
+			})
+		}
+
+		It(fmt.Sprintf("is within its limit while %d instances lose their leader, and some never have one", n), func() {
+			// Guards against instances that ignore the limit without a leader, and against a new leader that grants again
+			// what its predecessor has granted. The limit is named again when the new leader is there.
+			s := newLimitedService(n, 16, newServer("t0"))
+			s.holderOfAll(s.limited)
+			s.cutOff = func(i int) bool { return s.now > 2*time.Second && i%3 == 2 }
+			s.offerTo(160, 15*time.Second, keyed)
+			s.run(5 * time.Second)
+			s.allocator = nil
+			s.run(7 * time.Second)
+			s.replaceLeader()
+			s.run(15 * time.Second)
+			used := float64(s.arrivalsBetween(8*time.Second, 15*time.Second)) / (s.perSecond * 7)
+			GinkgoWriter.Printf("n=%d used %.2f of the limit with the new leader, %d requests in 2 s without one\n", n, used, s.arrivalsBetween(5*time.Second, 7*time.Second))
+			s.expectWithinLimit(limitTakesEffect, 15*time.Second)
+			Expect(used).To(And(BeNumerically(">", 0.85), BeNumerically("<", 1.5)))
+			Expect(s.arrivalsBetween(5*time.Second, 7*time.Second)).To(BeNumerically(">", 0), "a part of the limit needs no leader")
+		})
+
+		It(fmt.Sprintf("gets everything from %d instances within a second after its limit has ended", n), func() {
+			// Guards against a limit that stays in force because the instances that still apply it send nothing to the
+			// target, and so see no response without it.
+			s := newLimitedService(n, 6, newServer("t0"))
+			s.holderOfAll(s.limited)
+			s.offerTo(60, 10*time.Second, keyed)
+			s.run(6 * time.Second)
+			s.perSecond = -1
+			s.run(10 * time.Second)
+			Expect(s.arrivalsBetween(7*time.Second, 10*time.Second)).To(BeNumerically(">", 0.85*60*3))
+		})
+	}
+
+	It("is probed while its limit is zero", func() {
+		// Guards against a target that never gets a request again because it once took none.
+		s := newLimitedService(30, 0, newServer("t0"))
+		s.holderOfAll(s.limited)
+		s.offerTo(60, 15*time.Second, keyed)
+		s.run(15 * time.Second)
+		s.expectWithinLimit(limitTakesEffect, 15*time.Second)
+		Expect(s.arrivalsBetween(limitTakesEffect, 15*time.Second)).To(BeNumerically(">=", 4))
+	})
+
+	It("serves urgent requests first", func() {
+		// Guards against urgent requests that are rejected because others got the permits.
+		s := newLimitedService(30, 12, newServer("t0"))
+		s.holderOfAll(s.limited)
+		urgent, other := keyed, keyed
+		urgent.Priority, other.Priority = 1, 2
+		s.offerTo(5, 15*time.Second, urgent)
+		s.offerTo(60, 15*time.Second, other)
+		s.run(15 * time.Second)
+		GinkgoWriter.Printf("served %v, rejected %v\n", s.served, s.rejected)
+		Expect(float64(s.served[1])).To(BeNumerically(">", 0.85*float64(s.served[1]+s.rejected[1])))
+		Expect(s.served[2]).To(BeNumerically(">", 0), "what the urgent ones leave is used")
+	})
+
+	It("does not delay requests that another target can serve", func() {
+		// Guards against requests without a key that wait for a permit or are rejected although other targets are free.
+		s := newLimitedService(30, 6, newServer("t0"), newServer("t1"), newServer("t2"))
+		s.offerTo(100, 12*time.Second, keyless)
+		s.run(12 * time.Second)
+		GinkgoWriter.Printf("sent %v\n", s.sent)
+		Expect(s.rejected).To(BeEmpty())
+		s.expectWithinLimit(limitTakesEffect, 12*time.Second)
+	})
+
+	It("is used up to its limit without a key while the other targets are full", func() {
+		// Guards against a limited target that is left out when its part is needed.
+		s := newLimitedService(30, 20, newServer("t0"), newServer("t1"))
+		s.offerTo(150, 12*time.Second, keyless)
+		s.run(12 * time.Second)
+		used := float64(s.arrivalsBetween(limitTakesEffect, 12*time.Second)) / (20 * 9)
+		GinkgoWriter.Printf("used %.2f of the limit, sent %v, rejected %v\n", used, s.sent, s.rejected)
+		s.expectWithinLimit(limitTakesEffect, 12*time.Second)
+		Expect(used).To(BeNumerically(">", 0.75))
+	})
+
+	It("has no limit in its next lifetime", func() {
+		// Guards against a limit that outlives the target that named it.
+		b := dispatch.NewBalancer("z", dispatch.RetryBudget{Ratio: 0.2, MinRetries: 10, Window: 10 * time.Second})
+		t := newServer("t0").Target
+		t.Service, t.Incarnation = "svc", 1
+		b.SetTargets(0, []routing.Target{t})
+		b.RecordRateLimit(time.Second, t.Lifetime(), 1)
+		r := keyless
+		Expect(b.Choose(2*time.Second, &r).Verdict).NotTo(Equal(dispatch.Send))
+		t.Incarnation = 2
+		b.SetTargets(3*time.Second, []routing.Target{t})
+		Expect(b.Choose(3*time.Second, &r).Verdict).To(Equal(dispatch.Send))
+		Expect(slices.Collect(func(yield func(routing.Lifetime) bool) {
+			for id := range b.RateLimits() {
+				yield(id)
+			}
+		})).To(BeEmpty())
+	})
+})
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -61,6 +61,7 @@
 // the caller has disconnected.
 func (c *proxyCall) run(ctx context.Context) *ingress.Response {
 	defer c.discardPending()
+	defer func() { c.f.shared.stopAwaitingPermit(c.decision.Ticket) }()
 	for {
 		hedgeDelay, response := c.decide(ctx)
 		if response == nil && c.pending > 0 {
@@ -106,6 +107,7 @@
 	r := &dispatch.Request{
 		Service: c.service, Kind: c.route.Kind, Key: c.key, Remaining: remaining, Objective: c.route.Objective,
 		Elapsed: time.Since(c.request.Arrived), PriorElapsed: c.elapsedBefore, TriedTargets: c.triedTargets, IsRetry: c.sentAttempts > 0, IsHedge: c.pending > 0,
+		Priority: c.route.Priority, Ticket: c.decision.Ticket,
 	}
 	d, changed := c.f.shared.choose(r)
 	c.decision = d
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -157,6 +157,8 @@
 			c.handle(f)
 		case f := <-c.events:
 			c.handle(f)
+		case <-c.shared.rateLimitSignal:
+			c.handle(func() { c.exchangeRateLimits(socket.BootTime()) })
 		case <-ticker.C:
 			c.tick(socket.BootTime())
 		case <-c.t.Dying():
@@ -203,6 +205,7 @@
 	} else {
 		c.reportLoad(now)
 	}
+	c.exchangeRateLimits(now)
 	if now-c.lastSweepAt >= sweepInterval {
 		c.lastSweepAt = now
 		c.client.CloseExpired(time.Now())
@@ -318,6 +321,7 @@
 		}
 	})
 	c.client.RemoveTargets(ended)
+	c.shared.dropRateLimits(ended)
 	c.metrics.targets.Update(int64(len(c.targets.live)))
 	c.logTargetChange(change)
 	if c.leadership != nil {
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -120,7 +120,7 @@
 		}
 		c.post(func() {
 			if c.leadership != nil {
-				c.leadership.applyLoadReport(report)
+				c.leadership.applyLoadReport(f, report)
 			}
 		})
 	}
@@ -151,7 +151,7 @@
 	}
 	l.lastInitialStateAt = now
 	l.publishNow(now) // otherwise pending changes would be sent twice
-	update := stateUpdate{Leader: &l.c.self, Candidates: l.publishedCandidates, Owners: map[string]*ownersUpdate{}, OfferedLoad: &offeredLoadUpdate{l.offeredLoads}, Leaving: l.c.leaving.list()}
+	update := stateUpdate{Leader: &l.c.self, Candidates: l.publishedCandidates, Owners: map[string]*ownersUpdate{}, OfferedLoad: &offeredLoadUpdate{l.offeredLoads}, Leaving: l.c.leaving.list(), RateLimits: l.c.shared.rateLimitNotices(now)}
 	if l.c.targets.version > 0 {
 		update.Targets = &targetUpdate{Version: l.c.targets.version, Full: true, Put: l.c.targets.byName}
 	}
@@ -240,7 +240,7 @@
 	if len(recipients) == 0 {
 		return
 	}
-	update.Term, update.Instances = l.grantor.Term(), len(l.followers)+1
+	update.Term, update.Instances, update.GrantsPermits = l.grantor.Term(), len(l.followers)+1, true
 	update.StoreUnreachable = l.c.storeFailedSince > 0
 	now := socket.BootTime()
 	update.OutstandingLeases = l.grantor.OutstandingLeases(now, outstandingLeasesHorizon)
@@ -269,6 +269,7 @@
 	}
 	delete(l.followers, f)
 	delete(l.joining, f)
+	l.permits.RemoveInstance(f)
 	if f.Address != "" {
 		l.lostFollowers[f.ID] = lostFollower{address: f.Address, notifyUntil: now + lostFollowerRetention}
 	}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -178,6 +178,9 @@
 		kind = c.route.Kind.String()
 		event = event.Str("target", d.Target.ID).Float64("target_load", d.Load).Dur("expected_ms", d.ExpectedLatency).
 			Dur("report_age_ms", d.ReportAge).Dur("lost_ms", c.elapsedBefore)
+		if d.LimitPerSecond > 0 {
+			event = event.Float64("limit_per_s", d.LimitPerSecond)
+		}
 	}
 	event.Send()
 	f.metrics.countRequest(kind, reason, time.Since(r.Arrived))
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -52,6 +52,7 @@
 		c.link.cancel()
 		c.link = nil
 	}
+	c.shared.forgetRateLimitReports(socket.BootTime())
 	if c.record == nil || c.record.Leader.ID == c.self.ID {
 		return
 	}
@@ -165,6 +166,7 @@
 	if c.link != l {
 		return
 	}
+	c.shared.forgetRateLimitReports(socket.BootTime())
 	// A connection that is reset before the leader has sent a state update counts as
 	// refused: the instance there may have stopped listening without accepting it.
 	c.leaderRefused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errNotLeader) || errors.Is(err, syscall.ECONNRESET) && c.lastUpdateAt == 0
@@ -195,6 +197,12 @@
 	if update.OfferedLoad != nil {
 		c.shared.setOfferedLoads(now, update.OfferedLoad.Targets)
 	}
+	if update.Leader != nil { // the leader handles what is sent from now on
+		c.shared.forgetRateLimitReports(now)
+	}
+	if update.GrantsPermits {
+		c.shared.setPermitLeader(now)
+	}
 	if update.Config != nil {
 		o, err := update.Config.decode(c.configKind())
 		if err != nil {
@@ -208,6 +216,10 @@
 		c.applyLeaderTargets(now, update.Targets)
 	}
 	c.markTargetsLeaving(now, update.Leaving)
+	c.mergeRateLimits(now, update.RateLimits, l.leader.ID)
+	if len(update.Permits) > 0 {
+		c.shared.applyPermits(now, update.Permits)
+	}
 	if len(update.Owners) > 0 {
 		changed := map[string][]routing.Owner{}
 		for service, o := range update.Owners {
@@ -259,14 +271,21 @@
 	if c.link == nil {
 		return
 	}
+	c.sendToLeader(&report) // if the leader doesn't read, a newer report follows
+}
+
+// sendToLeader sends a report to the leader. It returns false if the leader doesn't read.
+func (c *controlLoop) sendToLeader(report *loadReport) bool {
 	frame, err := encodeFrame(kindLoadReport, report)
 	if err != nil {
 		c.log.Error().Str("event", "load.encode").Err(err).Send()
-		return
+		return false
 	}
 	select {
 	case c.link.out <- frame:
-	default: // the leader doesn't read; a newer report follows
+		return true
+	default:
+		return false
 	}
 }
 
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -12,6 +12,7 @@
 	"github.com/boragegate/boragegate/lease"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/placement/keyrange"
+	"github.com/boragegate/boragegate/ratelimit"
 	"github.com/boragegate/boragegate/routing"
 	"github.com/boragegate/boragegate/store"
 )
@@ -57,10 +58,13 @@
 // leadership is the state of an instance while it is the leader. It is confined to the
 // control loop's goroutine.
 type leadership struct {
-	c             *controlLoop
-	ctx           context.Context
-	cancel        context.CancelFunc
-	grantor       *rangelease.Grantor
+	c       *controlLoop
+	ctx     context.Context
+	cancel  context.CancelFunc
+	grantor *rangelease.Grantor
+	// permits grants the permits for targets with a rate limit; the nil follower stands for this instance.
+	permits       *ratelimit.Allocator[*follower]
+	permitTimer   *time.Timer   // fires when the next permits are available
 	recordVersion store.Version // of the ownership record
 
 	rates            map[string]*keyrange.KeyRates
@@ -97,7 +101,11 @@
 		grantor: rangelease.New(grantOptions(c), sentAt, socket.BootTime(), r, predecessor),
 		rates:   map[string]*keyrange.KeyRates{}, serviceTimes: map[string]*keyrange.ServiceTimes{},
 		warmUpUntil: map[routing.Lifetime]time.Duration{}, followers: map[*follower]struct{}{}, joining: map[*follower]struct{}{},
-		lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(),
+		lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(), permits: ratelimit.NewAllocator[*follower](),
+	}
+	l.permitTimer = time.AfterFunc(tickInterval, c.shared.signalRateLimits)
+	for _, n := range c.shared.rateLimitNotices(l.startedAt) {
+		l.permits.SetLimit(l.startedAt, n.Lifetime, n.PerSecond)
 	}
 	l.grantor.OnMove(func(service string, s routing.Span, from, to routing.Lifetime, reason string) {
 		c.metrics.moves.Inc(1)
@@ -126,6 +134,7 @@
 
 func (l *leadership) close() {
 	l.cancel()
+	l.permitTimer.Stop()
 	for _, f := range append(l.followerList(), l.joiningFollowers()...) {
 		f.close()
 	}
@@ -146,6 +155,7 @@
 	l.grantor.UpdateTargets(l.c.leaving.withDraining(changed), ended)
 	for _, id := range ended {
 		delete(l.warmUpUntil, id)
+		l.permits.RemoveLimit(id)
 		for _, s := range l.serviceTimes {
 			s.Remove(id)
 		}
@@ -196,6 +206,7 @@
 		l.plan(now)
 	}
 	l.advance(now)
+	l.grantPermits(now)
 	l.sendInitialState(now)
 	if now-l.lastHeartbeatAt >= heartbeatInterval {
 		l.lastHeartbeatAt = now
--- a/internal/edge/load.go
+++ b/internal/edge/load.go
@@ -12,7 +12,7 @@
 // plan compares the loads of the targets and plans moves of keys between them.
 func (l *leadership) plan(now time.Duration) {
 	report := l.c.shared.takeLoadReport()
-	l.applyLoadReport(&report)
+	l.applyLoadReport(nil, &report)
 	elapsed := now - l.lastPlanAt
 	l.lastPlanAt, l.planRequested = now, false
 	config := l.c.shared.config.Load()
@@ -84,20 +84,28 @@
 		if now < l.warmUpUntil[t.Lifetime()] {
 			capacity *= warmUpCapacityFraction
 		}
+		if limit, ok := l.permits.PerSecond(t.Lifetime()); ok {
+			capacity = min(capacity, limit)
+		}
 		list = append(list, keyrange.Target{Lifetime: t.Lifetime(), Capacity: capacity})
 	}
 	return list
 }
 
-// applyLoadReport applies the load report of an instance.
-func (l *leadership) applyLoadReport(report *loadReport) {
+// applyLoadReport applies the load report of a follower, or of this instance if it is nil. Permits are granted to
+// followers that have been sent the state; others ask again.
+func (l *leadership) applyLoadReport(f *follower, report *loadReport) {
 	for service, keys := range report.Keys {
 		rates := l.ratesOf(service)
 		for key, n := range keys {
 			rates.Add(key, n)
 		}
 	}
-	l.c.markTargetsLeaving(socket.BootTime(), report.Leaving)
+	now := socket.BootTime()
+	l.c.markTargetsLeaving(now, report.Leaving)
+	if _, ok := l.followers[f]; ok {
+		l.handleRateLimits(now, f, report.RateLimits, report.PermitRequests)
+	}
 	for _, s := range report.Samples {
 		if service, ok := l.grantor.ServiceOf(s.Lifetime); ok {
 			l.serviceTimesOf(service).Add(s.Lifetime, s.Served, s.BusyTime)
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -15,6 +15,7 @@
 	"github.com/boragegate/boragegate/dispatch"
 	"github.com/boragegate/boragegate/internal/framing"
 	"github.com/boragegate/boragegate/ownership/rangelease"
+	"github.com/boragegate/boragegate/ratelimit"
 	"github.com/boragegate/boragegate/routing"
 	"github.com/boragegate/boragegate/store"
 )
@@ -107,6 +108,14 @@
 	// OfferedLoad has all overloaded targets. It is sent after each comparison of loads
 	// while any target is overloaded, once more when none is, and to new followers.
 	OfferedLoad *offeredLoadUpdate `msgpack:"p,omitempty"`
+	// RateLimits has what the leader knows about the rate limits of some targets; new followers get all that are in
+	// force.
+	RateLimits []ratelimit.Notice `msgpack:"r,omitempty"`
+	// Permits has the permits that the leader grants to this follower.
+	Permits []ratelimit.Grant `msgpack:"u,omitempty"`
+	// GrantsPermits is set by leaders that grant permits for targets with a rate limit. Instances of earlier versions
+	// do not.
+	GrantsPermits bool `msgpack:"b,omitempty"`
 	// Successor is the ID of the instance that is to take over from this leader. The leader
 	// leads until the successor has done so.
 	Successor string `msgpack:"s,omitempty"`
@@ -187,6 +196,10 @@
 	// Leaving has the targets that have recently announced to the follower that they are
 	// leaving.
 	Leaving []routing.Lifetime `msgpack:"l,omitempty"`
+	// RateLimits has what responses to the follower have recently said about rate limits, and PermitRequests the
+	// permits that it needs. Both are sent at once, in a report without the other fields.
+	RateLimits     []ratelimit.Notice  `msgpack:"r,omitempty"`
+	PermitRequests []ratelimit.Request `msgpack:"q,omitempty"`
 }
 
 func encodeFrame(kind byte, v any) ([]byte, error) {
--- a/internal/edge/shared_state.go
+++ b/internal/edge/shared_state.go
@@ -25,7 +25,7 @@
 
 	mu       sync.Mutex
 	balancer *dispatch.Balancer
-	// changed is closed when targets or owners change.
+	// changed is closed when targets, owners, rate limits or permits change.
 	changed chan struct{}
 	// keyCounts counts requests by service and key since the last load report.
 	keyCounts map[string]map[int]int
@@ -33,6 +33,12 @@
 	// that they are leaving, with the time of the announcement. They are reported for
 	// leavingReportTime.
 	reportedLeaving map[routing.Lifetime]time.Duration
+	// unreportedRateLimits has the targets whose rate limits are to be reported to the leader, and
+	// rateLimitReportedAt the time of the last report.
+	unreportedRateLimits map[routing.Lifetime]struct{}
+	rateLimitReportedAt  map[routing.Lifetime]time.Duration
+	// rateLimitSignal makes the control loop send reports of rate limits and requests for permits at once.
+	rateLimitSignal chan struct{}
 }
 
 // leavingReportTime is the time for which an instance reports a leaving target to the
@@ -41,7 +47,10 @@
 const leavingReportTime = 5 * time.Second
 
 func newSharedState(zone string, budget dispatch.RetryBudget, policy dispatch.Policy) *sharedState {
-	s := &sharedState{policy: policy, balancer: dispatch.NewBalancer(zone, budget), changed: make(chan struct{}), keyCounts: map[string]map[int]int{}, reportedLeaving: map[routing.Lifetime]time.Duration{}}
+	s := &sharedState{
+		policy: policy, balancer: dispatch.NewBalancer(zone, budget), changed: make(chan struct{}), keyCounts: map[string]map[int]int{}, reportedLeaving: map[routing.Lifetime]time.Duration{},
+		unreportedRateLimits: map[routing.Lifetime]struct{}{}, rateLimitReportedAt: map[routing.Lifetime]time.Duration{}, rateLimitSignal: make(chan struct{}, 1),
+	}
 	s.instances.Store(defaultInstances)
 	s.balancer.SetPolicy(policy)
 	s.balancer.SetSeed(rand.Float64()) //nolint:gosec // not a secret
@@ -60,6 +69,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f(s.balancer)
+	s.wakeHeld()
+}
+
+// wakeHeld wakes held requests. The caller holds mu.
+func (s *sharedState) wakeHeld() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -81,6 +95,9 @@
 	if d.Verdict == dispatch.Send {
 		s.balancer.StartAttempt(d.Target.Lifetime())
 	}
+	if d.Ticket != r.Ticket {
+		s.signalRateLimits()
+	}
 	return d, s.changed
 }
 
