--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -74,10 +74,10 @@
 	NotExecuted string
 	// Load is the load that a target reports in its responses.
 	Load string
-	// Leaving is set in all responses of a target that is about to shut down.
+	// Leaving is a flag in all responses of a target that is about to shut down.
 	Leaving string
 	// RateLimit is set in the responses of a target that limits the requests that it takes from all instances
-	// together.
+	// together, in requests per second.
 	RateLimit string
 }
 
@@ -145,11 +145,4 @@
 	// ParseLoad parses the value of the header Headers.Load. It returns false if the value is
 	// empty or invalid.
 	ParseLoad(value string) (Load, bool)
-	// ParseRateLimit parses the values of the header Headers.RateLimit, in requests per second. Of several
-	// values the lowest is used. It returns false if there is no valid value. The error lists values that
-	// are invalid or too high; the returned rate is valid nevertheless.
-	ParseRateLimit(values []string) (perSecond float64, ok bool, err error)
-	// ParseLeaving reports whether the value of the header Headers.Leaving means that the
-	// target is about to shut down; an empty value does not.
-	ParseLeaving(value string) bool
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -235,7 +235,7 @@
 	}
 	f.observeRateLimit(a)
 	id, h := a.target.Lifetime(), a.response.Header
-	if f.platform.ParseLeaving(h.Get(f.headers.Leaving)) && f.shared.markLeaving(id) {
+	if httpwire.ParseFlag(h.Get(f.headers.Leaving)) && f.shared.markLeaving(id) {
 		f.metrics.leavingTargets.Inc(1)
 		f.log.StartEvent(zerolog.InfoLevel, "target.leaving").Str("target", id.ID).Int64("incarnation", id.Incarnation).Send()
 	}
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/boragegate/boragegate/dispatch"
+	"github.com/boragegate/boragegate/internal/httpwire"
 	"github.com/boragegate/boragegate/internal/socket"
 	"github.com/boragegate/boragegate/ratelimit"
 	"github.com/boragegate/boragegate/routing"
@@ -23,7 +24,7 @@
 // neither sets nor ends one.
 func (f *forwarder) observeRateLimit(a *attempt) {
 	id, h := a.target.Lifetime(), a.response.Header
-	perSecond, named, err := f.platform.ParseRateLimit(h.Values(f.headers.RateLimit))
+	perSecond, named, err := httpwire.ParseRate(h.Values(f.headers.RateLimit))
 	if err != nil {
 		f.metrics.unreadableRateLimits.Inc(1)
 		f.log.StartEvent(zerolog.WarnLevel, "target.rate_limit_unreadable").Str("target", id.ID).Float64("used_per_s", perSecond).Bool("used", named).Err(err).Send()
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -1,6 +1,6 @@
 // Package httpwire contains the HTTP/1.1 helpers beyond package net/http that both the
 // ingress and the upstream side use: a limit on header sizes, chunked encoding,
-// hop-by-hop headers and Retry-After.
+// hop-by-hop headers, and the values of some headers.
 package httpwire
 
 import (
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 )
 
 // Unlimited is the Remaining value that disables the limit of a HeaderLimitReader while
@@ -46,6 +47,12 @@
 // it applies to one connection only or is set anew for each message.
 func IsHopByHop(name string) bool { return hopByHop[name] }
 
+// ParseFlag parses the value of a Boolean header. A missing or malformed value counts as false.
+func ParseFlag(value string) bool {
+	set, err := strconv.ParseBool(strings.TrimSpace(value))
+	return err == nil && set
+}
+
 // ChunkWriter encodes a body with chunked transfer encoding. Close writes the final
 // empty chunk.
 type ChunkWriter struct{ W io.Writer }
