Send the attempts of a request on different connections

It could happen here: all attempts of a request have the same ID, and the second attempt at the holder of its key could use the connection on which the first one was refused. A second copy of that refusal then names the right request and was taken for its response.

An attempt no longer uses a connection on which an earlier attempt of the same request was sent.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -40,6 +40,8 @@
 	mayHaveRun     bool
 	unsentAttempts int
 	triedTargets   []string
+	// used has the connections on which attempts were sent.
+	used upstream.UsedConnections
 	// failedAttempt is the last attempt with the result dispatch.Failed. Its response is
 	// returned if no better one arrives, except when maxUnsentAttempts is reached.
 	failedAttempt *attempt
@@ -191,7 +193,7 @@
 	}
 	return &upstream.Request{
 		Method: c.request.Method, URI: requestURI(c.request.Request), Host: c.request.Host, Header: h, ID: c.request.Header.Get(c.f.headers.RequestID),
-		Body: c.request.Body, BodyStream: c.request.BodyStream, Length: c.request.Length,
+		Body: c.request.Body, BodyStream: c.request.BodyStream, Length: c.request.Length, Used: &c.used,
 	}
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -67,7 +67,7 @@
 // is done, the connection is closed, which makes most servers cancel the request. A
 // Stream in the response must be closed; it does not depend on the context.
 func (c *Client) Do(ctx context.Context, t *routing.Target, r *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, t)
+	cn, err := c.acquire(ctx, t, r.Used)
 	if err != nil {
 		return nil, err
 	}
@@ -75,6 +75,7 @@
 		c.release(cn, cn.reused)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	r.Used.add(cn)
 	_ = cn.nc.SetDeadline(time.Time{})
 	stop := context.AfterFunc(ctx, func() { _ = cn.nc.SetDeadline(time.Unix(1, 0)) })
 	resp, reusable, err := cn.roundTrip(r)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -84,6 +85,34 @@
 	BodyStream io.ReadCloser
 	// Length is the length of the whole body, or -1 if it is unknown.
 	Length int64
+	// Used has the connections on which earlier attempts with the same ID were sent; nil if there are none. Do uses
+	// another one: a late copy of the response to an earlier attempt would have the right ID. Do adds the connection.
+	Used *UsedConnections
+}
+
+// UsedConnections is the set of connections on which a request was sent. The zero value is empty. It is safe for
+// concurrent use.
+type UsedConnections struct {
+	mu   sync.Mutex
+	list []*conn
+}
+
+func (u *UsedConnections) add(cn *conn) {
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.list = append(u.list, cn)
+}
+
+func (u *UsedConnections) contains(cn *conn) bool {
+	if u == nil {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Contains(u.list, cn)
 }
 
 // Response is a response from a backend server. Its Close field is not set.
@@ -187,9 +216,9 @@
 	}
 }
 
-// acquire returns an idle connection to the target or opens a new one. Its errors wrap
-// ErrNotSent.
-func (c *Client) acquire(ctx context.Context, t *routing.Target) (*conn, error) {
+// acquire returns an idle connection to the target that was not used before, or opens a new
+// one. Its errors wrap ErrNotSent.
+func (c *Client) acquire(ctx context.Context, t *routing.Target, used *UsedConnections) (*conn, error) {
 	c.mu.Lock()
 	if c.pools == nil {
 		c.pools = map[routing.Lifetime]*pool{}
@@ -200,9 +229,12 @@
 		c.pools[t.Lifetime()] = p
 	}
 	now := time.Now()
-	for len(p.idleConns) > 0 {
-		cn := p.idleConns[len(p.idleConns)-1]
-		p.idleConns = p.idleConns[:len(p.idleConns)-1]
+	for i := len(p.idleConns) - 1; i >= 0; i-- {
+		cn := p.idleConns[i]
+		if used.contains(cn) {
+			continue
+		}
+		p.idleConns = slices.Delete(p.idleConns, i, i+1)
 		cn.idleTime = now.Sub(cn.idleSince)
 		if now.Before(cn.idleUntil) && c.mayReuse(t.Service, cn.idleTime, now) && socket.Reusable(cn.nc) {
 			c.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -98,6 +98,24 @@
 		Entry("keep-alive timeout of zero", "HTTP/1.1 200 OK\nX-Id: ID\nKeep-Alive: timeout=0\nContent-Length: 2\n\nok", false, 2),
 	)
 
+	It("does not take a second copy of a refusal for the response to the next attempt", func() {
+		// Guards against a request that is reported as not run, or sent to yet another target, while the target runs it:
+		// all attempts of a request have the same ID, so a late copy of an earlier refusal names it, too.
+		const refusal = "HTTP/1.1 503 Full\nX-Id: ID\nContent-Length: 4\n\nfull"
+		responses.Store(scriptedResponses{refusal, refusal, refusal})
+		request := &upstream.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, ID: "1", Used: &upstream.UsedConnections{}}
+		resp, err := client.Do(bg, target, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Status).To(Equal(503))
+		responses.Store(scriptedResponses{ownResponse, ownResponse, ownResponse})
+		resp, err = client.Do(bg, target, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Status).To(Equal(200))
+		Expect(connectionCount.Load()).To(BeEquivalentTo(2))
+		Expect(do(bg, "2")).To(Equal("ok"), "other requests use the connections again")
+		Expect(connectionCount.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("streams a large response after the context of Do was cancelled", func() {
 		// Guards against large downloads that break off when the request's handler returns.
 		size := 3 << 20
