Choose ports that are not given out twice

Specs that start instances failed now and then with "address already in use" (KNOWN-RED.txt, two specs of platform): FreePort closed each port before it chose the next one, so a machine could get the same port twice.

freeport.Choose keeps the listeners open until it has all ports of a machine, and returns no port of an address twice in a process.

--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/boragegate/boragegate/internal/freeport"
 	"github.com/boragegate/boragegate/platform/standin"
 )
 
@@ -186,14 +187,11 @@
 	i := &instance{Machine: standin.Machine{
 		Name: fmt.Sprintf("i%d", n), IP: fmt.Sprintf("127.0.%d.%d", s.run.options.Subnet, 10+n), Zone: "z", GracePeriod: gracePeriod,
 	}}
-	for _, port := range []*int{&i.CallerPort, &i.ReadinessPort, &i.PeerPort} {
-		p, err := standin.FreePort(i.IP)
-		if err != nil {
-			return err
-		}
-		*port = p
+	ports, err := freeport.Choose(i.IP, 3)
+	if err != nil {
+		return err
 	}
-	var err error
+	i.CallerPort, i.ReadinessPort, i.PeerPort = ports[0], ports[1], ports[2]
 	if i.storeProxy, err = newProxy(s.storeAddress); err != nil {
 		return err
 	}
