Give each process of a soak its own mark of a requested stop

A restart cleared the mark of the stop of the former process before its exit was handled, which was then reported as "runs until it is told to end", and a second process was started.

--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,7 +56,7 @@
 	process       *exec.Cmd
 	startedAt     time.Time
 	exited        chan struct{}
-	stopRequested bool // a signal that ends the process has been sent
+	stopRequested *atomic.Bool // set if a signal that ends the process has been sent
 	// onExit is called when the process exits although no such signal was sent. It reports a
 	// violation and restarts the process.
 	onExit func(err error)
@@ -229,18 +230,16 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	exited := make(chan struct{})
+	// Each process has its own flag: the next one may be started as soon as exited is closed.
+	exited, stopRequested := make(chan struct{}), &atomic.Bool{}
 	go func() {
 		err := cmd.Wait()
 		close(exited)
-		i.mu.Lock()
-		stopRequested := i.stopRequested
-		i.mu.Unlock()
-		if !stopRequested {
+		if !stopRequested.Load() {
 			i.onExit(err)
 		}
 	}()
-	i.process, i.exited, i.stopRequested, i.startedAt = cmd, exited, false, time.Now()
+	i.process, i.exited, i.stopRequested, i.startedAt = cmd, exited, stopRequested, time.Now()
 	return nil
 }
 
@@ -249,7 +248,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.process != nil {
-		i.stopRequested = i.stopRequested || s == syscall.SIGTERM || s == syscall.SIGKILL
+		if s == syscall.SIGTERM || s == syscall.SIGKILL {
+			i.stopRequested.Store(true)
+		}
 		_ = i.process.Process.Signal(s) // fails if the process has exited already
 	}
 }
