--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -310,6 +309,7 @@
 	return d
 }
 
+// decide does the work of Choose, but for what follows from the decision in any case.
 func (b *Balancer) decide(now time.Duration, r *Request) Decision {
 	var d Decision
 	if r.Key >= 0 {
@@ -393,108 +393,6 @@
 	return &owners[i]
 }
 
-func (b *Balancer) chooseForService(now time.Duration, r *Request) Decision {
-	instanceSubset := b.subsetFor(r.Service)
-	lists := [][]*targetState{b.services[r.Service]}
-	if !instanceSubset.hasAllTargets {
-		// The lists are tried in order until the expected latency is low enough: the next pair of the subset, the
-		// whole subset, all targets. The better target of a pair may be a slow one, so slow targets stay in use
-		// and their load stays known.
-		lists = [][]*targetState{b.nextPair(instanceSubset.targets), instanceSubset.targets, b.services[r.Service]}
-	}
-	var d Decision
-	var t *targetState
-	for _, list := range lists {
-		if d, t = b.chooseFrom(now, r, list); t != nil && !exceedsSubsetLatency(r, d) && !b.lacksPermit(now, t, r) {
-			break
-		}
-	}
-	if t == nil {
-		if wait := b.shortestPause(now, r.Service); wait > 0 {
-			return reject(r, "targets_paused", b.jitterPause(wait), Decision{ReportAge: -1})
-		}
-		return reject(r, "no_target", defaultHandoverTime, Decision{ReportAge: -1})
-	}
-	d = b.sendOrReject(now, t, r, d)
-	if d.Verdict == Reject {
-		if limited := b.earliestPermit(now, r); limited != nil {
-			return b.sendOrReject(now, limited, r, b.estimate(now, limited))
-		}
-	}
-	return d
-}
-
-// chooseFrom returns the target of the list with the lowest score and the estimate for it, or nil if
-// no target can receive the request. The score is the expected latency plus the zone cost, scaled up
-// by the failure rate, plus the time for which the target still counts as full.
-func (b *Balancer) chooseFrom(now time.Duration, r *Request, list []*targetState) (Decision, *targetState) {
-	// The order among targets with equal scores differs between instances.
-	first := int(b.quasiRandom(b.sequenceIndex) * float64(len(list)))
-	b.sequenceIndex++
-	zoneCost := b.zoneCost(r)
-	best, bestScore := (*targetState)(nil), math.Inf(1)
-	var bestDecision Decision
-	for level := healthyTargets; level <= includeLeaving && best == nil; level++ {
-		for i := range list {
-			t := list[(i+first)%len(list)]
-			if !t.isCandidate(now, level) || slices.Contains(r.TriedTargets, t.ID) {
-				continue
-			}
-			permitWait := time.Duration(0)
-			if b.lacksPermit(now, t, r) {
-				t.permits.WantSpare(now)
-				if level < includeRateLimited {
-					continue
-				}
-				permitWait, _ = t.permits.Wait(now, ratelimit.ClassOf(r.Priority), b.coordination(now))
-			}
-			d := b.estimate(now, t)
-			cost := d.ExpectedLatency + permitWait
-			if t.Zone != b.zone && b.policy.Enabled(ZoneCost) {
-				cost += zoneCost
-			}
-			score := float64(cost)
-			if b.policy.Enabled(FailureRate) {
-				score *= 1 + failurePenalty*t.failureRate
-			}
-			if now < t.avoidUntil {
-				score += float64(t.avoidUntil - now)
-			}
-			if score < bestScore {
-				best, bestScore, bestDecision = t, score, d
-			}
-		}
-	}
-	return bestDecision, best
-}
-
-// fallbackLevel selects the targets that are considered for a request. Each level adds targets to
-// those of the one before, and is used only if those cannot receive the request.
-type fallbackLevel int
-
-const (
-	// healthyTargets are neither ejected nor leaving, and have no rate limit that the request would have to wait for.
-	healthyTargets fallbackLevel = iota
-	// includeRateLimited adds targets with a rate limit that the request has to wait for.
-	includeRateLimited
-	// includeEjected adds ejected targets.
-	includeEjected
-	// includeLeaving adds leaving targets whose grace period has not expired.
-	includeLeaving
-)
-
-// isCandidate reports whether a request may be sent to the target at the given level.
-func (t *targetState) isCandidate(now time.Duration, level fallbackLevel) bool {
-	switch {
-	case t.Draining, now < t.pausedUntil, t.isGraceExpired(now):
-		return false
-	case t.leavingAt > 0:
-		return level >= includeLeaving
-	default:
-		return level >= includeEjected || now >= t.ejectedUntil
-	}
-}
-
 // sendOrReject decides to send the request to the target unless the target has no free slot and the
 // request is expected to complete there too late.
 func (b *Balancer) sendOrReject(now time.Duration, t *targetState, r *Request, d Decision) Decision {
