--- a/placement/keyrange/keyrange_test.go
+++ b/placement/keyrange/keyrange_test.go
@@ -149,6 +149,41 @@
 		Expect(float64(moved) / routing.KeyCount).To(BeNumerically("<", 0.15))
 	})
 
+	It("moves keys away from a target that takes a fifth of its load, and few others", func() {
+		// Guards against keys that stay at a target with a rate limit, whose callers are rejected while other targets have
+		// room: the limit counts as its capacity.
+		t := targets(70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70, 70)
+		ranges := apply(allKeys, keyrange.Plan(allKeys, t, keyrange.NewKeyRates()).Moves)
+		rates, random := keyrange.NewKeyRates(), rand.New(rand.NewPCG(1, 2))
+		load := map[int]float64{}
+		moved := 0
+		for step := range 70 {
+			limited := step >= 40
+			if limited {
+				t[0].Capacity = 7.2
+			}
+			rates.Advance(150 * time.Millisecond)
+			for range 72 { // 480/s
+				key := random.IntN(routing.KeyCount)
+				rates.Add(key, 1)
+				if step >= 60 { // 3 s after the limit
+					load[key]++
+				}
+			}
+			moves := keyrange.Plan(ranges, t, rates).Moves
+			if limited {
+				for _, m := range moves {
+					moved += m.Len()
+				}
+			}
+			ranges = apply(ranges, moves)
+		}
+		share, movedShare := loadShares(ranges, load)[lifetime(0)], float64(moved)/routing.KeyCount
+		GinkgoWriter.Printf("the target receives %.1f/s of a limit of 7.2/s, moved %.3f of the keys\n", 480*share, movedShare)
+		Expect(480 * share).To(BeNumerically("<", 1.5*7.2))
+		Expect(movedShare).To(BeNumerically("<", 0.15))
+	})
+
 	It("moves a single hot key to the fastest target, and the other keys away from it", func() {
 		// Guards against a holder that cannot serve its hot key. As in real traffic, one key gets
 		// a third of the requests, which is more than its holder can serve.
--- a/ratelimit/allocator_test.go
+++ b/ratelimit/allocator_test.go
@@ -1,6 +1,8 @@
 package ratelimit_test
 
 import (
+	"fmt"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -166,3 +168,21 @@
 		}
 	})
 })
+
+// BenchmarkRequest measures one request for a permit while the queue is as long as requests wait for, at a target whose
+// limit is a few requests a second and at one with a limit of hundreds.
+func BenchmarkRequest(b *testing.B) {
+	for _, instances := range []int{8, 65, 300, 1000} {
+		for _, perSecond := range []float64{6, 300} {
+			b.Run(fmt.Sprintf("instances=%d/limit=%.0f", instances, perSecond), func(b *testing.B) {
+				a := ratelimit.NewAllocator[int]()
+				now := time.Second
+				a.SetLimit(now, limitedTarget, perSecond)
+				for i := 0; b.Loop(); i++ {
+					now += time.Millisecond
+					a.Request(now, i%instances, needs(2, 1, 200*ms))
+				}
+			})
+		}
+	}
+}
