--- a/cmd/boragegate-soak/main.go
+++ b/cmd/boragegate-soak/main.go
@@ -41,6 +41,7 @@
 	f.IntVar(&o.Targets, "targets", 0, "number of backend servers")
 	f.IntVar(&o.Subnet, "network", 0, "third number of the instances' addresses 127.0.n.m")
 	f.IntVar(&o.Callers, "callers", 0, "number of callers")
+	f.BoolVar(&o.RateLimits, "rate-limits", true, "let backend servers limit their rate; it does not change the other faults of a seed")
 	f.StringSliceVar(&o.Faults, "fault", nil, "kinds of faults; all if none is named")
 	if err := cmd.ExecuteContext(ctx); err != nil {
 		return 1
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -129,7 +129,7 @@
 
 func (r *run) withInstance(selector int, f func(*instance)) {
 	i := r.system.instances[selector%len(r.system.instances)]
-	r.runExclusively(i, func() { f(i) })
+	r.runExclusively(i, func() { r.recordInstanceFault(func() { f(i) }) })
 }
 
 // withTarget reserves the whole service of the selected target, so that only one target of
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,6 +49,8 @@
 	Instances, Targets, Callers int
 	// Faults names the kinds of faults to inject; nil means all.
 	Faults []string
+	// RateLimits makes targets limit the rate of their requests now and then.
+	RateLimits bool
 	// Log receives a line at the start and end of each fault; nil discards them.
 	Log io.Writer
 }
@@ -67,10 +69,12 @@
 
 // Report is the outcome of a run.
 type Report struct {
-	Seed         uint64
-	Faults       map[string]int
-	Requests     map[string]int // by outcome
-	RecoveryTime time.Duration  // time from the end of the last fault until every key was served
+	Seed     uint64
+	Faults   map[string]int
+	Requests map[string]int // by outcome
+	// LimitSpans is the number of spans for which the rate limit of a target was checked.
+	LimitSpans   int
+	RecoveryTime time.Duration // time from the end of the last fault until every key was served
 	Violations   []Violation
 }
 
@@ -92,6 +96,9 @@
 	}
 	write("faults:", r.Faults)
 	write("requests:", r.Requests)
+	if r.LimitSpans > 0 {
+		fmt.Fprintf(&b, "  rate limits checked in %d spans\n", r.LimitSpans)
+	}
 	for _, v := range r.Violations {
 		b.WriteString("  " + v.String() + "\n")
 	}
@@ -107,8 +114,9 @@
 	checker   *executionChecker
 	reserved  sync.Map // instances, services and proxies that a fault uses exclusively
 
-	mu     sync.Mutex
-	report Report
+	mu             sync.Mutex
+	report         Report
+	instanceFaults []*instanceFault
 }
 
 // Run carries out one run. Broken promises are in the report, not in the
@@ -148,7 +156,18 @@
 	for i := range options.Callers {
 		wg.Go(func() { r.runCaller(callersCtx, i) })
 	}
+	limitsCtx, stopLimits := context.WithCancel(ctx)
+	defer stopLimits()
+	limitsEnded := make(chan struct{})
+	go func() {
+		defer close(limitsEnded)
+		if options.RateLimits {
+			r.limitRates(limitsCtx)
+		}
+	}()
 	r.injectFaults(ctx)
+	stopLimits()
+	<-limitsEnded
 	recovery, ok := r.waitUntilServed(ctx, recoveryTimeout)
 	r.report.RecoveryTime = recovery
 	if !ok {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,7 +47,15 @@
 	}
 
 	It("keeps all promises while random faults are injected", func() {
-		runSoak(soak.Options{Seed: 1, Duration: 8 * time.Second})
+		runSoak(soak.Options{Seed: 1, Duration: 8 * time.Second, RateLimits: true})
+	})
+
+	It("keeps the rate limits of targets while the store and its connections fail", func() {
+		// Guards against a limit that instances forget, or each keep alone, when the leader changes or cannot reach the
+		// store. Without faults of the instances themselves, no span is excused.
+		runSoak(soak.Options{Seed: 2, Duration: 16 * time.Second, RateLimits: true, Faults: []string{
+			"store down", "answers of the store lost", "connections to the store reset", "store slow for an instance", "instance cut off from the store", "configuration changed", "settings changed",
+		}})
 	})
 
 	It("keeps all promises with seeds that found faults before", func() {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -7,12 +7,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/boragegate/boragegate/internal/freeport"
+	"github.com/boragegate/boragegate/platform"
 	"github.com/boragegate/boragegate/platform/standin"
 )
 
@@ -69,6 +71,8 @@
 	server  *http.Server
 	proxy   *proxy
 
+	limit atomic.Pointer[rateLimit] // nil while the target names none
+
 	mu      sync.Mutex
 	entry   standin.TargetEntry
 	running *standin.Target // nil while no server runs
@@ -181,6 +185,10 @@
 	if running == nil {
 		panic(http.ErrAbortHandler)
 	}
+	if limit := t.limit.Load(); limit != nil && !strings.HasPrefix(r.URL.Path, "/api/") {
+		limit.recordArrival()
+		w.Header().Set(platform.NewHeaders().RateLimit, limit.header())
+	}
 	running.ServeHTTP(w, r)
 }
 
