Write no request to a connection on which a response has begun already

The transport reports the first byte of a response before it parses it. If nothing of the request was written by then, the connection is sealed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,15 +4,17 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // attempt tracks the connections that an http.Transport uses for one round
-// trip. All of its methods run on the goroutine of the round trip.
+// trip. All of its methods but gotFirstResponseByte run on the goroutine of the round trip.
 type attempt struct {
 	trace          httptrace.ClientTrace
 	cancel         context.CancelFunc
-	conn           *trackedConn // nil until the transport has chosen a connection, and for an untracked one
-	mayHaveWritten bool         // bytes may have been sent over an earlier or an untracked connection
+	conn           *trackedConn                // nil until the transport has chosen a connection, and for an untracked one
+	latest         atomic.Pointer[trackedConn] // conn, for gotFirstResponseByte
+	mayHaveWritten bool                        // bytes may have been sent over an earlier or an untracked connection
 }
 
 // newAttempt returns an attempt and its context. The context is done at the
@@ -22,7 +24,7 @@
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	c.cancel = cancel
 	a := &attempt{cancel: cancel}
-	a.trace.GotConn = a.gotConn
+	a.trace.GotConn, a.trace.GotFirstResponseByte = a.gotConn, a.gotFirstResponseByte
 	return a, httptrace.WithClientTrace(ctx, &a.trace)
 }
 
@@ -32,6 +34,7 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	previous := a.conn
 	a.conn, _ = info.Conn.(*trackedConn)
+	a.latest.Store(a.conn)
 	if a.conn == nil {
 		a.mayHaveWritten = true
 		return
@@ -44,6 +47,14 @@
 	}
 }
 
+// gotFirstResponseByte keeps the request from being written if the transport has received the beginning of a response
+// before: bytes that followed the previous response are then in its buffer. It runs on a goroutine of the transport.
+func (a *attempt) gotFirstResponseByte() {
+	if conn := a.latest.Load(); conn != nil {
+		conn.sealPending()
+	}
+}
+
 // responseMatches reports whether a response can belong to the request. A
 // response that arrived before the request was written belongs to an earlier
 // request. Responses over untracked connections always match.
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -163,6 +163,7 @@
 		Entry("a complete response", "HTTP/1.1 200 OK\nContent-Length: 4\n\nevil"),
 		Entry("a response without a body", "HTTP/1.1 204 No Content\n\n"),
 		Entry("the beginning of a header", "HTTP/1.1 200 OK\nX-Evil: "),
+		Entry("a whole status line", "HTTP/1.1 200 OK\n"),
 	)
 
 	It("does not reuse a connection whose response is late", func() {
--- a/internal/gateway/tracked.go
+++ b/internal/gateway/tracked.go
@@ -146,6 +146,16 @@
 	return !c.pending
 }
 
+// sealPending prevents all writes if nothing of the request to which the connection is assigned was written yet.
+func (c *trackedConn) sealPending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending {
+		c.sealed = true
+		c.changed.Broadcast()
+	}
+}
+
 // seal prevents all further writes, and reports whether bytes of the request may
 // have been sent before.
 func (c *trackedConn) seal() (written bool) {
