Let the leader and an instance agree on whether a limit is in force

An instance that hears of the end before its last response with the limit takes the limit for in force again, while the leader takes it for ended. It then gets no permits, sends nothing to the target, and never sees a response that would end the limit.

A request for permits now comes with what the instance knows of the limit. If the limit has ended as far as the leader knows with that, it says so and the instance follows. An instance that gets no answer for a second acts as without a leader, so that it cannot be stuck for another reason.

--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -98,13 +98,15 @@
 	return list
 }
 
-// ApplyPermits applies permits that the leader has granted.
-func (b *Balancer) ApplyPermits(now time.Duration, grants []ratelimit.Grant) {
+// ApplyPermits applies permits that the leader has granted. It returns the targets whose limits this ends.
+func (b *Balancer) ApplyPermits(now time.Duration, grants []ratelimit.Grant) []routing.Lifetime {
+	var ended []routing.Lifetime
 	for i := range grants {
-		if t := b.byID[grants[i].Lifetime]; t != nil {
-			t.permits.ApplyGrant(now, &grants[i])
+		if t := b.byID[grants[i].Lifetime]; t != nil && t.permits.ApplyGrant(now, &grants[i]) {
+			ended = append(ended, grants[i].Lifetime)
 		}
 	}
+	return ended
 }
 
 // StopAwaitingPermit records that the request with the ticket no longer waits for a permit. A zero ticket is ignored.
--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -103,7 +103,15 @@
 
 func (s *limitedService) askForPermits(i int) {
 	for _, request := range s.balancers[i].TakePermitRequests(s.now) {
+		l := s.balancers[i].RateLimit(request.Lifetime)
+		notice := l.Notice(s.now, request.Lifetime)
 		s.tell(i, func() {
+			known, _ := s.balancers[0].MergeRateLimit(s.now, &notice)
+			s.setLimit(known)
+			if !known.InForce() {
+				s.grant(i, ratelimit.Grant{Lifetime: request.Lifetime, Unlimited: true})
+				return
+			}
 			for recipient, grant := range s.allocator.Request(s.now, i, &request) {
 				s.grant(recipient, grant)
 			}
@@ -326,6 +334,23 @@
 		})
 	}
 
+	It("gets everything from an instance that learns of the end of its limit before the last response with it", func() {
+		// Guards against an instance for which a limit is in force that the leader takes for ended: it got no permits, so it
+		// saw no response that would have ended the limit for it.
+		s := newLimitedService(4, 6, newServer("t0"))
+		s.holderOfAll(s.limited)
+		s.offerTo(60, 10*time.Second, keyed)
+		s.run(6 * time.Second)
+		s.perSecond = -1
+		s.run(7 * time.Second)
+		s.balancers[3].RecordRateLimit(s.now-990*time.Millisecond, s.limited.Lifetime(), 6)
+		late := s.now - 10*time.Millisecond
+		s.balancers[3].RecordRateLimit(late, s.limited.Lifetime(), 6) // in force again for this instance alone
+		s.rejected = map[int]int{}
+		s.run(10 * time.Second)
+		Expect(s.rejected[0]).To(BeNumerically("<", 10))
+	})
+
 	It("is probed while its limit is zero", func() {
 		// Guards against a target that never gets a request again because it once took none.
 		s := newLimitedService(30, 0, newServer("t0"))
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -218,7 +218,7 @@
 	c.markTargetsLeaving(now, update.Leaving)
 	c.mergeRateLimits(now, update.RateLimits, l.leader.ID)
 	if len(update.Permits) > 0 {
-		c.shared.applyPermits(now, update.Permits)
+		c.applyPermits(now, update.Permits, l.leader.ID)
 	}
 	if len(update.Owners) > 0 {
 		changed := map[string][]routing.Owner{}
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -99,7 +99,8 @@
 	}
 }
 
-// takeRateLimitReport returns the rate limits to report to the leader and the permits to ask it for.
+// takeRateLimitReport returns the rate limits to report to the leader and the permits to ask it for. The limits of targets for
+// which permits are needed are among them, so that the leader and the instance agree on whether they are in force.
 func (s *sharedState) takeRateLimitReport(now time.Duration) ([]ratelimit.Notice, []ratelimit.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,8 +110,16 @@
 			notices = append(notices, l.Notice(now, id))
 		}
 	}
+	requests := s.balancer.TakePermitRequests(now)
+	for i := range requests {
+		id := requests[i].Lifetime
+		if _, reported := s.unreportedRateLimits[id]; !reported {
+			l := s.balancer.RateLimit(id)
+			notices = append(notices, l.Notice(now, id))
+		}
+	}
 	clear(s.unreportedRateLimits)
-	return notices, s.balancer.TakePermitRequests(now)
+	return notices, requests
 }
 
 // forgetRateLimitReports makes the instance report its rate limits and ask for its permits again, because the leader
@@ -157,12 +166,28 @@
 	return l, changed
 }
 
-// applyPermits applies permits that the leader has granted, and wakes the requests that wait for them.
-func (s *sharedState) applyPermits(now time.Duration, grants []ratelimit.Grant) {
+// applyPermits applies permits that the leader has granted, and wakes the requests that wait for them. It returns the
+// targets whose limits this ends.
+func (s *sharedState) applyPermits(now time.Duration, grants []ratelimit.Grant) []routing.Lifetime {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.ApplyPermits(now, grants)
+	ended := s.balancer.ApplyPermits(now, grants)
 	s.wakeHeld()
+	return ended
+}
+
+// applyPermits applies permits that the leader has granted, and logs the limits that this ends.
+func (c *controlLoop) applyPermits(now time.Duration, grants []ratelimit.Grant, leader string) {
+	for _, id := range c.shared.applyPermits(now, grants) {
+		l := c.shared.rateLimit(id)
+		logRateLimit(c.log.Info().Str("event", rateLimitEvent(&l)), id, &l).Str("source", leader).Send()
+	}
+}
+
+func (s *sharedState) rateLimit(id routing.Lifetime) ratelimit.Limit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.RateLimit(id)
 }
 
 // stopAwaitingPermit records that a request has ended that may have waited for a permit; the ticket is zero if it has
@@ -236,6 +261,12 @@
 		l.broadcast(stateUpdate{RateLimits: publish})
 	}
 	for i := range requests {
+		id := requests[i].Lifetime
+		known := l.c.shared.rateLimit(id) // zero for an unknown target, which may have a limit
+		if known.NamedAt > 0 && !known.InForce() {
+			l.sendPermits(now, f, []ratelimit.Grant{{Lifetime: id, Unlimited: true}})
+			continue
+		}
 		for recipient, grant := range l.permits.Request(now, f, &requests[i]) {
 			l.sendPermits(now, recipient, []ratelimit.Grant{grant})
 		}
@@ -274,7 +305,7 @@
 // sendPermits gives permits to an instance: a follower, or this one if it is nil.
 func (l *leadership) sendPermits(now time.Duration, recipient *follower, grants []ratelimit.Grant) {
 	if recipient == nil {
-		l.c.shared.applyPermits(now, grants)
+		l.c.applyPermits(now, grants, l.c.self.ID)
 		return
 	}
 	l.send(stateUpdate{Permits: grants}, recipient)
--- a/ratelimit/permits.go
+++ b/ratelimit/permits.go
@@ -18,6 +18,9 @@
 	requestRefreshInterval = 100 * time.Millisecond
 	// grantDelay is the time that a permit may take to reach the instance when its turn has come.
 	grantDelay = 20 * time.Millisecond
+	// answerTimeout is the time without an answer of the leader after which an instance that needs permits acts as
+	// without a leader.
+	answerTimeout = time.Second
 	// uncoordinatedFraction is the part of the limit that instances without a leader use together, without permits.
 	// The others may use the whole limit meanwhile.
 	uncoordinatedFraction = 0.4
@@ -58,7 +61,7 @@
 	number uint64 // rising in the order in which requests began to wait
 }
 
-// Request asks the leader for permits.
+// Request asks the leader for permits. The leader has to know from a Notice what the instance knows about the limit.
 type Request struct {
 	routing.Lifetime
 	// Needed is the number of permits that the instance needs now. It replaces the number in earlier requests, of
@@ -79,6 +82,8 @@
 	// LastTicket repeats that of the request which this grant answers; it is 0 for permits that were queued. Requests up
 	// to this one for which no permit is granted or queued cannot be served in time.
 	LastTicket uint64 `msgpack:"l,omitempty"`
+	// Unlimited is set if no limit of the target is in force, as far as the leader knows from all instances.
+	Unlimited bool `msgpack:"f,omitempty"`
 	// Wait is the expected time, by class, until the instance would get a permit that it asks for now.
 	Wait [classCount]time.Duration `msgpack:"w"`
 }
@@ -111,6 +116,8 @@
 	requested   Counts
 	requestedAt time.Duration
 	answered    uint64
+	// unansweredSince is the time of the first request since the leader's last answer; 0 if there was none.
+	unansweredSince time.Duration
 	// expectedAt is the time by which a permit is expected that is asked for now; 0 if unknown.
 	expectedAt [classCount]time.Duration
 	// nextUncoordinatedAt is the time at which the instance may send the next request without a leader; 0 while
@@ -137,7 +144,7 @@
 func (p *Permits) Available(now time.Duration, class Class, ticket Ticket, c Coordination) bool {
 	p.dropExpired(now)
 	ahead := p.ahead(class, ticket)
-	if c.HasLeader {
+	if p.isCoordinated(now, c) {
 		p.nextUncoordinatedAt = 0
 		return len(p.unused) > ahead
 	}
@@ -147,6 +154,11 @@
 	return len(p.unused) > ahead || ahead == 0 && now >= p.nextUncoordinatedAt
 }
 
+// isCoordinated reports whether the leader grants permits.
+func (p *Permits) isCoordinated(now time.Duration, c Coordination) bool {
+	return c.HasLeader && (p.unansweredSince == 0 || now-p.unansweredSince < answerTimeout)
+}
+
 // ahead returns the number of requests that wait and get a permit before the request of the class with the ticket.
 func (p *Permits) ahead(class Class, ticket Ticket) int {
 	n := 0
@@ -162,7 +174,7 @@
 // IsRefused reports whether a request that waits will not get a permit in time, as far as the leader has said.
 func (p *Permits) IsRefused(now time.Duration, ticket Ticket, c Coordination) bool {
 	p.dropExpired(now)
-	return c.HasLeader && ticket.number <= p.answered && p.ahead(ticket.class, ticket) >= len(p.unused)+p.requested.sum()
+	return p.isCoordinated(now, c) && ticket.number <= p.answered && p.ahead(ticket.class, ticket) >= len(p.unused)+p.requested.sum()
 }
 
 // GiveBack returns a permit that was taken for a request that is not sent after all.
@@ -171,7 +183,7 @@
 // Wait returns the expected time until a request of the class that does not wait yet gets a permit. It returns false if
 // that is only an estimate from what this instance does itself, because the leader has not said yet.
 func (p *Permits) Wait(now time.Duration, class Class, c Coordination) (time.Duration, bool) {
-	if !c.HasLeader {
+	if !p.isCoordinated(now, c) {
 		ahead := time.Duration(p.ahead(class, Ticket{})) * p.uncoordinatedInterval(c)
 		return max(p.nextUncoordinatedAt-now, 0) + ahead, true
 	}
@@ -238,6 +250,11 @@
 		return Request{}, false
 	}
 	p.requested, p.requestedAt = r.Needed, now
+	if r.Needed.sum() == 0 {
+		p.unansweredSince = 0
+	} else if p.unansweredSince == 0 {
+		p.unansweredSince = now
+	}
 	for class, tickets := range p.waiting {
 		r.MaxWait[class] = spareInterval
 		if len(tickets) > 0 {
@@ -249,11 +266,16 @@
 
 // ForgetRequests records that the leader has lost, or not received, what the instance asked for.
 func (p *Permits) ForgetRequests() {
-	p.requested, p.answered, p.expectedAt = Counts{}, 0, [classCount]time.Duration{}
+	p.requested, p.answered, p.unansweredSince, p.expectedAt = Counts{}, 0, 0, [classCount]time.Duration{}
 }
 
-// ApplyGrant applies a grant of the leader.
-func (p *Permits) ApplyGrant(now time.Duration, g *Grant) {
+// ApplyGrant applies a grant of the leader. It reports whether this ends the limit.
+func (p *Permits) ApplyGrant(now time.Duration, g *Grant) bool {
+	p.unansweredSince = 0
+	if g.Unlimited {
+		isKnown := p.NamedAt <= p.requestedAt // the leader knew the last response with the limit
+		return isKnown && p.ObserveUnnamed(p.NamedAt)
+	}
 	p.requested, p.answered = g.Queued, max(p.answered, g.LastTicket)
 	for _, n := range g.Granted {
 		p.unused = append(p.unused, slices.Repeat([]time.Duration{now + permitTTL}, max(n, 0))...)
@@ -261,6 +283,7 @@
 	for class, wait := range g.Wait {
 		p.expectedAt[class] = now + wait
 	}
+	return false
 }
 
 func (p *Permits) dropExpired(now time.Duration) {
