Measure the goodput for as long as random arrivals need to average out

The check was wrong, not the code: it takes the service to be offered more than its capacity, but at twice the capacity, three of the four owners of the hot key's service are offered 300/s each, just their capacity, on average. In the one second that was measured, random arrivals fall below that by up to a tenth, and nothing can be served that does not arrive.

Eight seconds are now measured at the capacity, four at twice, one at ten times (as before), with the same keys in every run. The bounds are unchanged, and each figure has at least as many requests behind it.

--- a/internal/gateway/goodput_test.go
+++ b/internal/gateway/goodput_test.go
@@ -34,8 +34,12 @@
 	simSlots       = 6
 	simServiceTime = 20 * time.Millisecond
 	simDeadline    = 200 * time.Millisecond
-	simDuration    = 2 * time.Second
 	simWarmUp      = time.Second
+	// simMeasured is the time in which requests are counted at the capacity, less with a higher load, but at least
+	// minSimMeasured. Random arrivals have to average out: an owner that is offered its capacity of 300/s receives up to a
+	// tenth less in a single second.
+	simMeasured    = 8 * time.Second
+	minSimMeasured = time.Second
 )
 
 // simulation is an instance that callers connect to, with the real target
@@ -104,11 +108,13 @@
 	rate := loadFactor * simTargets * simSlots / simServiceTime.Seconds()
 	var good, otherSent, otherGood atomic.Int64
 	var wg sync.WaitGroup
+	keys := rand.New(rand.NewPCG(1, 2)) // the same keys in every run
+	measuredTime := max(time.Duration(float64(simMeasured)/max(loadFactor, 1)), minSimMeasured)
 	begin := time.Now()
-	for n := 0; float64(n) < rate*simDuration.Seconds(); n++ {
+	for n := 0; float64(n) < rate*(simWarmUp+measuredTime).Seconds(); n++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(float64(n) / rate * float64(time.Second)))))
-		key := "k" + strconv.Itoa(rand.IntN(5000))
-		if rand.Float64() < s.hotFraction {
+		key := "k" + strconv.Itoa(keys.IntN(5000))
+		if keys.Float64() < s.hotFraction {
 			key = "hot"
 		}
 		measured := time.Since(begin) > simWarmUp
@@ -133,7 +139,7 @@
 		})
 	}
 	wg.Wait()
-	return float64(good.Load()) / (simDuration - simWarmUp).Seconds(), float64(otherGood.Load()) / float64(max(otherSent.Load(), 1))
+	return float64(good.Load()) / measuredTime.Seconds(), float64(otherGood.Load()) / float64(max(otherSent.Load(), 1))
 }
 
 // TestGoodput guards against a loss of goodput under overload: by work for callers
