--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,6 +50,12 @@
 		runSoak(soak.Options{Seed: 1, Duration: 8 * time.Second, RateLimits: true})
 	})
 
+	// softFaults are the faults that leave the processes of instances and targets alone.
+	softFaults := []string{
+		"store down", "answers of the store lost", "connections to the store reset", "store slow for an instance", "instance cut off from the store", "configuration changed", "settings changed",
+		"target slow", "connections to a target reset",
+	}
+
 	It("keeps the rate limits of targets while the store and its connections fail", func() {
 		// Guards against a limit that instances forget, or each keep alone, when the leader changes or cannot reach the
 		// store. Without faults of the instances themselves, no span is excused.
@@ -69,6 +75,11 @@
 			{Seed: 105, Duration: 10 * time.Second},
 			// The proxy delivered grants after their sender had reset the connection.
 			{Seed: 307, Duration: 9 * time.Second},
+			// An instance took a limit for in force that the leader took for ended, and sent nothing to the target any more.
+			{Seed: 1006, Duration: 15 * time.Second, RateLimits: true},
+			{Seed: 1021, Duration: 15 * time.Second, RateLimits: true},
+			{Seed: 1114, Duration: 16 * time.Second, RateLimits: true, Faults: softFaults},
+			{Seed: 1116, Duration: 16 * time.Second, RateLimits: true, Faults: softFaults},
 		} {
 			o.Subnet = 20 + n
 			wg.Go(func() {
