Correct two comments that their code contradicts

Found by reading the change as a newcomer. instanceFault claimed to cover faults of connections, but only kills, stops and pauses of instances are recorded, so spans with a cut connection are checked, not excused. The counter of rate limits also counts limits that end.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -30,7 +30,7 @@
 	leavingTargets      gometrics.Counter
 	pauses              gometrics.Counter
 	unreadablePauses    gometrics.Counter
-	// rateLimits counts the rate limits that responses to this instance set or changed, and unreadableRateLimits
+	// rateLimits counts the rate limits that responses to this instance set, changed or ended, and unreadableRateLimits
 	// the responses with a rate limit that is malformed or too high.
 	rateLimits           gometrics.Counter
 	unreadableRateLimits gometrics.Counter
--- a/internal/soak/ratelimit.go
+++ b/internal/soak/ratelimit.go
@@ -102,10 +102,10 @@
 	}
 }
 
-// instanceFault is a span in which an instance was killed, stopped or paused, or a connection that it uses had a fault.
+// instanceFault is a span in which an instance was killed, stopped or paused. The end is zero while it lasts.
 type instanceFault struct{ from, to time.Time }
 
-// recordInstanceFault records that the fault which f causes affects instances.
+// recordInstanceFault records that an instance has a fault while f runs.
 func (r *run) recordInstanceFault(f func()) {
 	fault := &instanceFault{from: time.Now()}
 	r.mu.Lock()
