Show that a body without end is passed on beyond the route's timeout

A body of more than 1 MB is streamed, and the stream does not end at the request's deadline. Nothing is fixed here.

--- a/review/.stand/main.go
+++ b/review/.stand/main.go
@@ -21,7 +21,8 @@
 	}
 	defer w.close()
 	plays := map[string]func(*world) (int, error){
-		"lost": playLost,
+		"lost":    playLost,
+		"endless": playEndless,
 	}
 	play := plays[os.Args[1]]
 	if play == nil {
