--- a/review/.stand/client.go
+++ b/review/.stand/client.go
@@ -25,6 +25,8 @@
 	w    *world
 	http http.Client
 	sent atomic.Int64
+	// onSend is called before each attempt; it may be nil.
+	onSend func(id, address string)
 }
 
 func newClient(w *world) *client {
@@ -47,6 +49,9 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
+	if c.onSend != nil {
+		c.onSend(a.id, address)
+	}
 	c.w.logf("client sends %s %s %s to %s", a.id, method, path, address)
 	started := time.Now()
 	resp, err := c.http.Do(r)
--- a/review/.stand/endless.go
+++ b/review/.stand/endless.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -93,7 +93,8 @@
 	for i := range 4 {
 		t := &endlessTarget{w: w, id: fmt.Sprintf("i-7f3a91c%d", i)}
 		if w.trouble && i < endlessShare*4 {
-			t.fails = func() bool { return rand.Float64() < endlessFraction } //nolint:gosec // not a secret
+			var answers atomic.Int64
+			t.fails = func() bool { return answers.Add(1)%int64(1/endlessFraction) == 0 }
 		}
 		if err := w.startTarget(t.id, "foglalas", 6, t); err != nil {
 			return 0, err
--- a/review/.stand/main.go
+++ b/review/.stand/main.go
@@ -23,6 +23,7 @@
 	plays := map[string]func(*world) (int, error){
 		"lost":    playLost,
 		"endless": playEndless,
+		"leaving": playLeaving,
 	}
 	play := plays[os.Args[1]]
 	if play == nil {
--- a/review/.stand/world.go
+++ b/review/.stand/world.go
@@ -29,6 +29,8 @@
 	host          = "jepu9.example"
 	startTimeout  = 20 * time.Second
 	settingsPerms = 0o600
+	// storeAnswer is the time in which the store of the small deployments answers.
+	storeAnswer = 4 * time.Millisecond
 )
 
 // world is a small deployment: a store, targets and processes of boragegate-edge, all on loopback addresses.
@@ -67,6 +69,7 @@
 		return nil, err
 	}
 	w.storeAddress = l.Addr().String()
+	w.store.SetDelay(storeAnswer)
 	go func() { _ = (&http.Server{Handler: w.store, ReadHeaderTimeout: time.Minute}).Serve(l) }()
 	w.logf("trouble=%t store=%s", w.trouble, w.storeAddress)
 	return w, nil
@@ -119,19 +122,24 @@
 
 // startTarget serves a handler at its own address and registers it in the store.
 func (w *world) startTarget(id, service string, slots int, handler http.Handler) error {
+	_, _, err := w.serveTarget(id, service, slots, handler.ServeHTTP)
+	return err
+}
+
+// serveTarget is like startTarget, and returns the listener and the server of the target.
+func (w *world) serveTarget(id, service string, slots int, handle http.HandlerFunc) (net.Listener, *http.Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	go func() {
-		_ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}).Serve(l)
-	}()
+	server := &http.Server{Handler: handle, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(l) }()
 	entry := standin.TargetEntry{
 		Address: l.Addr().String(), Service: service, Zone: "pest-kelet", StartUnixMilli: time.Now().UnixMilli(), Slots: slots,
 	}
 	w.store.Put(standin.KindTargets, id, entry.Spec())
 	w.logf("target %s of %s at %s", id, service, entry.Address)
-	return nil
+	return l, server, nil
 }
 
 // startInstances starts n processes, each on a loopback address of its own, and waits until all are ready.
