Choose 503 only if every attempt is proven not to have run

Cause: handleNoResponse looked at the context before it recorded that the request may have run. With the deadline passed and nothing pending, the request counted as not run.

Change: the evidence is a type, execution, that counts the attempts started and those proven not to have run. An attempt counts as one that may have run from its start, and respondUnserved alone chooses the status, so the order in which events are looked at no longer matters. At the deadline, results that have arrived are handled before the status is chosen. Attempts that end after the deadline are logged.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -35,15 +35,14 @@
 	pending int
 	// sentAttempts is the number of attempts, without those that failed before anything was
 	// sent; unsentAttempts counts these.
-	sentAttempts int
-	// mayHaveRun is set if a target may have run the request.
-	mayHaveRun     bool
+	sentAttempts   int
+	execution      execution
 	unsentAttempts int
 	triedTargets   []string
 	// used has the connections on which attempts were sent.
 	used upstream.UsedConnections
 	// failedAttempt is the last attempt with the result dispatch.Failed. Its response is
-	// returned if no better one arrives, except when maxUnsentAttempts is reached.
+	// returned if no better one arrives.
 	failedAttempt *attempt
 }
 
@@ -136,13 +135,7 @@
 		if c.pending > 0 {
 			return 0, nil
 		}
-		if c.failedAttempt != nil {
-			return 0, c.relay(c.failedAttempt)
-		}
-		if c.mayHaveRun {
-			return 0, c.respondOutcomeUnknown(d.Reason)
-		}
-		return 0, c.f.respondUnavailable(c, c.request, d.Reason, d.RetryAfter)
+		return 0, c.respondUnserved(d.Reason, d.RetryAfter)
 	}
 }
 
@@ -151,9 +144,10 @@
 	return c.route.Kind.IsIdempotent() && c.sentAttempts < c.route.MaxAttempts && c.request.BodyStream == nil
 }
 
-// startAttempt sends the request to a target in a new goroutine.
-func (c *proxyCall) startAttempt(ctx context.Context, t routing.Target, remaining time.Duration) {
+// recordStart counts an attempt at a target that is about to start.
+func (c *proxyCall) recordStart(t routing.Target) {
 	c.pending++
+	c.execution.started++
 	if c.sentAttempts > 0 {
 		c.f.metrics.retriedRequests.Inc(1)
 	}
@@ -161,6 +155,11 @@
 	if c.key < 0 {
 		c.triedTargets = append(c.triedTargets, t.ID)
 	}
+}
+
+// startAttempt sends the request to a target in a new goroutine.
+func (c *proxyCall) startAttempt(ctx context.Context, t routing.Target, remaining time.Duration) {
+	c.recordStart(t)
 	request := c.upstreamRequest(&t, remaining)
 	go func() {
 		a := attempt{target: t, sentAt: socket.BootTime()}
@@ -281,6 +280,23 @@
 	}
 }
 
+// handleArrivedResults handles the results that have arrived already, without waiting. It
+// returns a response for the caller, or nil if none of them has one.
+func (c *proxyCall) handleArrivedResults(ctx context.Context) *ingress.Response {
+	for c.pending > 0 {
+		select {
+		case a := <-c.results:
+			c.pending--
+			if response, _ := c.handleResult(ctx, &a); response != nil {
+				return response
+			}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
 // handleResult handles the result of an attempt. It returns a response for the caller, or
 // whether another attempt may be made.
 func (c *proxyCall) handleResult(ctx context.Context, a *attempt) (response *ingress.Response, retry bool) {
@@ -288,7 +304,6 @@
 	case dispatch.Succeeded:
 		return c.relay(a), false
 	case dispatch.Failed:
-		c.mayHaveRun = true
 		c.closeStream(c.failedAttempt)
 		c.failedAttempt = a
 		if c.canRetry() {
@@ -308,6 +323,7 @@
 // handleNotRun handles a response that says that the target did not run the request.
 func (c *proxyCall) handleNotRun(ctx context.Context, a *attempt) (*ingress.Response, bool) {
 	c.closeStream(a)
+	c.execution.provenNotRun++
 	if a.response.Status == http.StatusBadRequest && a.result == dispatch.Shed {
 		return c.relay(a), false
 	}
@@ -321,28 +337,19 @@
 	return c.respondAllRefused(a), false
 }
 
-// respondAllRefused responds to the caller after the last attempt was refused by its
-// target.
-func (c *proxyCall) respondAllRefused(a *attempt) *ingress.Response {
-	switch {
-	case c.failedAttempt != nil:
-		return c.relay(c.failedAttempt)
-	case c.mayHaveRun:
-		return c.respondOutcomeUnknown(reasonAnswerBroken)
-	case a.result == dispatch.Misdirected:
-		return c.f.respondUnavailable(c, c.request, reasonKeyMoved, maxHoldInterval)
-	default:
-		return c.f.respondUnavailable(c, c.request, reasonTargetFull, max(c.decision.ExpectedQueueTime, minShedRetryAfter))
-	}
-}
-
 // handleNoResponse handles an attempt that ended without a usable response, which
 // dispatch counts as NoResponse, Reset or Canceled.
 func (c *proxyCall) handleNoResponse(ctx context.Context, a *attempt) (*ingress.Response, bool) {
-	if ctx.Err() != nil {
+	if a.notSent {
+		c.execution.provenNotRun++
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return c.respondExpired(ctx), false
 	}
 	c.beginAttemptLog(a).Err(a.err).Send()
+	if ctx.Err() != nil {
+		return c.respondExpired(ctx), false
+	}
 	if a.notSent {
 		c.sentAttempts--
 		c.unsentAttempts++
@@ -355,22 +362,15 @@
 		if c.pending > 0 {
 			return nil, false
 		}
-		if c.mayHaveRun {
-			return c.respondOutcomeUnknown(reasonTargetUnreachable), false
-		}
-		return c.f.respondUnavailable(c, c.request, reasonTargetUnreachable, maxHoldInterval), false
+		return c.respondUnserved(reasonTargetUnreachable, maxHoldInterval), false
 	}
-	c.mayHaveRun = true
 	if c.canRetry() {
 		return nil, true
 	}
 	if c.pending > 0 {
 		return nil, false
 	}
-	if c.failedAttempt != nil {
-		return c.relay(c.failedAttempt), false
-	}
-	return c.respondOutcomeUnknown(reasonAnswerBroken), false
+	return c.respondUnserved(reasonAnswerBroken, 0), false
 }
 
 // beginAttemptLog begins the log line of an attempt that ended without a response for the
@@ -381,50 +381,3 @@
 		Dur("took_ms", time.Since(c.request.Arrived)).Float64("target_load", c.decision.Load).
 		Dur("expected_ms", c.decision.ExpectedLatency).Dur("report_age_ms", c.decision.ReportAge)
 }
-
-// respondOutcomeUnknown responds 502 because the outcome of the request is unknown.
-func (c *proxyCall) respondOutcomeUnknown(reason string) *ingress.Response {
-	c.f.beginDecisionLog(c, c.request, http.StatusBadGateway, reason).Str("target", c.decision.Target.ID).Send()
-	c.f.metrics.countRequest(c.route.Kind.String(), reason, time.Since(c.request.Arrived))
-	return &ingress.Response{Status: http.StatusBadGateway, Header: http.Header{}}
-}
-
-// respondExpired responds after the caller has disconnected or the deadline of the request
-// has passed.
-func (c *proxyCall) respondExpired(ctx context.Context) *ingress.Response {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		c.f.beginDecisionLog(c, c.request, 0, "caller_gone").Send()
-		c.f.metrics.countRequest(c.route.Kind.String(), "caller_gone", time.Since(c.request.Arrived))
-		return callerGoneResponse
-	}
-	if c.failedAttempt != nil {
-		return c.relay(c.failedAttempt)
-	}
-	if c.pending == 0 && !c.mayHaveRun {
-		return c.f.respondUnavailable(c, c.request, reasonTimeout, maxHoldInterval)
-	}
-	c.f.beginDecisionLog(c, c.request, http.StatusGatewayTimeout, reasonTimeout).Str("target", c.decision.Target.ID).
-		Dur("expected_ms", c.decision.ExpectedLatency).Float64("target_load", c.decision.Load).Send()
-	c.f.metrics.countRequest(c.route.Kind.String(), reasonTimeout, time.Since(c.request.Arrived))
-	return &ingress.Response{Status: http.StatusGatewayTimeout, Header: http.Header{}}
-}
-
-// closeStream closes the body stream of an attempt's response. a may be nil.
-func (c *proxyCall) closeStream(a *attempt) {
-	if a != nil && a.response != nil && a.response.Stream != nil {
-		_ = a.response.Stream.Close()
-	}
-}
-
-// relay returns a target's response to the caller.
-func (c *proxyCall) relay(a *attempt) *ingress.Response {
-	if a != c.failedAttempt {
-		c.closeStream(c.failedAttempt)
-	}
-	r := a.response
-	c.f.log.StartEvent(zerolog.InfoLevel, "request.answered").Str("request", c.request.Header.Get(c.f.headers.RequestID)).
-		Int("status", r.Status).Str("route", c.route.Name).Str("target", a.target.ID).Int("key", c.key).Int("sent", c.sentAttempts).
-		Dur("took_ms", time.Since(c.request.Arrived)).Uint64("config_version", c.configVersion).Send()
-	c.f.metrics.countRequest(c.route.Kind.String(), "answered", time.Since(c.request.Arrived))
-	return r
-}
--- /dev/null
+++ b/internal/edge/outcome_test.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/boragegate/boragegate/dispatch"
+	"github.com/boragegate/boragegate/internal/deployment"
+	"github.com/boragegate/boragegate/internal/ingress"
+	"github.com/boragegate/boragegate/internal/logging"
+	"github.com/boragegate/boragegate/internal/upstream"
+	"github.com/boragegate/boragegate/routing"
+)
+
+// attemptResult is the result of an attempt and whether it proves that the target did not run
+// the request.
+type attemptResult struct {
+	attempt
+	provesNotRun bool
+}
+
+var _ = Describe("the status of a request without a success", func() {
+	refusal := &upstream.Response{Status: 503}
+	results := []attemptResult{
+		{attempt: attempt{result: dispatch.NoResponse, err: io.EOF}},
+		{attempt: attempt{result: dispatch.Reset, err: upstream.ErrNewConnReset}},
+		{attempt: attempt{result: dispatch.Failed, response: &upstream.Response{Status: 500}}},
+		{attempt: attempt{result: dispatch.NoResponse, err: upstream.ErrNotSent, notSent: true}, provesNotRun: true},
+		{attempt: attempt{result: dispatch.Shed, response: refusal}, provesNotRun: true},
+		{attempt: attempt{result: dispatch.Misdirected, response: &upstream.Response{Status: 421}}, provesNotRun: true},
+	}
+	newCall := func(kind routing.Kind) *proxyCall {
+		return &proxyCall{
+			f:       &forwarder{log: logging.New(logging.Options{Out: GinkgoWriter}), metrics: newInstanceMetrics(), headers: deployment.Headers{RequestID: "X-Id"}},
+			request: &ingress.Request{Request: httptest.NewRequest("POST", "/", nil), Arrived: time.Now()},
+			route:   &routing.Route{Kind: kind, MaxAttempts: 4}, key: -1, results: make(chan attempt, 8),
+		}
+	}
+
+	It("promises that the request has not run only if that is proven for every attempt, in any order of results and deadline", func() {
+		// Guards against a 503 for a request that a target has run: the connection broke just before the deadline, and the
+		// deadline passed before the result was handled.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			kind := rapid.SampledFrom([]routing.Kind{routing.Idempotent, routing.AtMostOnce}).Draw(t, "kind")
+			c := newCall(kind)
+			mayHaveRun := false
+			for range rapid.IntRange(0, 4).Draw(t, "attempts") {
+				c.recordStart(routing.Target{ID: "t"})
+				if rapid.Bool().Draw(t, "outstanding at the deadline") {
+					mayHaveRun = true
+					continue
+				}
+				r := rapid.SampledFrom(results).Draw(t, "result")
+				mayHaveRun = mayHaveRun || !r.provesNotRun
+				c.results <- r.attempt
+			}
+			expired, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+			defer cancel()
+			response := c.awaitResult(expired, 0)
+			if response == nil {
+				response = c.respondExpired(expired)
+			}
+			if promisesNotRun := response.Status == 503; promisesNotRun == mayHaveRun {
+				t.Fatalf("status %d, but the request may have run: %t", response.Status, mayHaveRun)
+			}
+		})
+	})
+
+	It("delivers a response that has arrived when the deadline passes", func() {
+		// Guards against a 504 in place of an answer that waits to be handled.
+		for range 20 {
+			c := newCall(routing.AtMostOnce)
+			c.recordStart(routing.Target{ID: "t"})
+			c.results <- attempt{result: dispatch.Succeeded, response: &upstream.Response{Status: 200}}
+			expired, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+			Expect(c.awaitResult(expired, 0).Status).To(Equal(200))
+			cancel()
+		}
+	})
+})
