Send followers the full list of targets after the leader has read it

Cause: the leader began to lead before it had read the list. Followers that joined then got none, and later the difference between the list and the leader's own empty one, which deletes nothing. The same holds without a restart: a follower may have a list of another version than the leader.

Change: after the leader has read the full list it sends the full list, and it passes changes on as the store told them, also those that change nothing in its own list. follower.joined logs the version of the list sent.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -196,7 +196,7 @@
 	if c.isCurrent() {
 		c.shared.freshUntil.Store(int64(now + configFreshWindow))
 	}
-	c.applyTargetChange(now, &targetUpdate{Version: c.targets.version, Deleted: c.targets.dropExpired(now)})
+	c.dropMissingTargets(now, c.targets.dropExpired(now))
 	c.leaving.expire(now)
 	c.runElection(now)
 	c.answerPendingQueries(now)
@@ -306,9 +306,24 @@
 	}
 }
 
-// applyTargetChange activates a change that has been made to the list of targets.
-func (c *controlLoop) applyTargetChange(now time.Duration, change *targetUpdate) {
-	if len(change.Put)+len(change.Deleted) == 0 {
+// dropMissingTargets activates that missing entries have been dropped from the list of targets.
+func (c *controlLoop) dropMissingTargets(now time.Duration, names []string) {
+	change := &targetUpdate{Version: c.targets.version, Deleted: names}
+	c.activateTargetChange(now, change)
+	c.publishTargets(now, change)
+}
+
+// publishTargets sends an update of the list of targets to the followers if this instance is
+// the leader.
+func (c *controlLoop) publishTargets(now time.Duration, update *targetUpdate) {
+	if c.leadership != nil && !update.isEmpty() {
+		c.leadership.publishTargets(now, update)
+	}
+}
+
+// activateTargetChange activates a change that has been made to the list of targets.
+func (c *controlLoop) activateTargetChange(now time.Duration, change *targetUpdate) {
+	if change.isEmpty() {
 		return
 	}
 	changed, ended := c.targets.takeChanges()
@@ -325,7 +340,7 @@
 	c.metrics.targets.Update(int64(len(c.targets.live)))
 	c.logTargetChange(change)
 	if c.leadership != nil {
-		c.leadership.applyTargetChange(now, changed, ended, change)
+		c.leadership.applyTargetChange(now, changed, ended)
 	}
 }
 
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -153,7 +153,7 @@
 	l.publishNow(now) // otherwise pending changes would be sent twice
 	update := stateUpdate{Leader: &l.c.self, Candidates: l.publishedCandidates, Owners: map[string]*ownersUpdate{}, OfferedLoad: &offeredLoadUpdate{l.offeredLoads}, Leaving: l.c.leaving.list(), RateLimits: l.c.shared.rateLimitNotices(now)}
 	if l.c.targets.version > 0 {
-		update.Targets = &targetUpdate{Version: l.c.targets.version, Full: true, Put: l.c.targets.byName}
+		update.Targets = l.c.targets.full()
 	}
 	for service, owners := range l.c.owners {
 		update.Owners[service] = encodeOwners(owners, true)
@@ -170,7 +170,8 @@
 		l.followers[f] = struct{}{}
 		delete(l.joining, f)
 		delete(l.lostFollowers, f.ID)
-		l.c.log.Info().Str("event", "follower.joined").Str("instance", f.ID).Int("followers", len(l.followers)).Send()
+		l.c.log.Info().Str("event", "follower.joined").Str("instance", f.ID).Int("followers", len(l.followers)).
+			Uint64("targets_version", uint64(l.c.targets.version)).Send() // 0 if the list has not been read
 	}
 	l.send(update, haveConfig...)
 	update.Config = l.encodedConfig
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -213,7 +213,7 @@
 		c.applyConfig(o)
 	}
 	if update.Targets != nil {
-		c.applyLeaderTargets(now, update.Targets)
+		c.activateTargetChange(now, c.targets.applyLeaderUpdate(now, update.Targets))
 	}
 	c.markTargetsLeaving(now, update.Leaving)
 	c.mergeRateLimits(now, update.RateLimits, l.leader.ID)
@@ -249,17 +249,6 @@
 	})
 }
 
-// applyLeaderTargets applies the leader's full list of targets or its changes.
-func (c *controlLoop) applyLeaderTargets(now time.Duration, update *targetUpdate) {
-	c.targets.keepMissingUntil = 0 // the leader decides which missing entries to keep
-	if update.Full {
-		c.applyTargetChange(now, &targetUpdate{Version: c.targets.version, Deleted: c.targets.dropUnlisted(update.Put)})
-	}
-	if update.Version >= c.targets.version {
-		c.applyTargetChange(now, c.targets.apply(now, update))
-	}
-}
-
 // reportLoad sends the measured load to the leader.
 func (c *controlLoop) reportLoad(now time.Duration) {
 	if now-c.lastReportAt < min(planInterval*time.Duration(max(int(c.shared.instances.Load())/reportersPerInterval, 1)), maxReportInterval) {
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -151,7 +151,7 @@
 	l.broadcast(stateUpdate{Config: update})
 }
 
-func (l *leadership) applyTargetChange(now time.Duration, changed []routing.Target, ended []routing.Lifetime, change *targetUpdate) {
+func (l *leadership) applyTargetChange(now time.Duration, changed []routing.Target, ended []routing.Lifetime) {
 	l.grantor.UpdateTargets(l.c.leaving.withDraining(changed), ended)
 	for _, id := range ended {
 		delete(l.warmUpUntil, id)
@@ -164,7 +164,12 @@
 		l.warmUpUntil[changed[i].Lifetime()] = now + changed[i].WarmUp
 	}
 	l.planRequested, l.targetsChangedAt = true, now
-	l.pendingTargets = l.pendingTargets.merge(change)
+}
+
+// publishTargets sends an update of the list of targets to the followers, together with others
+// that follow closely.
+func (l *leadership) publishTargets(now time.Duration, update *targetUpdate) {
+	l.pendingTargets = l.pendingTargets.merge(update)
 	l.publish(now)
 }
 
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -169,12 +169,16 @@
 	Deleted []string                  `msgpack:"d,omitempty"`
 }
 
+// isEmpty reports whether the update changes no entry.
+func (u *targetUpdate) isEmpty() bool { return !u.Full && len(u.Put)+len(u.Deleted) == 0 }
+
 // merge returns the changes of u followed by later ones. u may be nil.
 func (u *targetUpdate) merge(later *targetUpdate) *targetUpdate {
 	if u == nil || later.Full {
 		return later
 	}
-	merged := &targetUpdate{Version: later.Version, Full: u.Full, Put: maps.Clone(u.Put)}
+	merged := &targetUpdate{Version: later.Version, Full: u.Full, Put: map[string]routing.Target{}}
+	maps.Copy(merged.Put, u.Put)
 	for _, name := range u.Deleted {
 		if _, ok := later.Put[name]; !ok {
 			merged.Deleted = append(merged.Deleted, name)
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -144,6 +145,20 @@
 	return true
 }
 
+// applyLeaderUpdate applies the leader's full list or changes of it, and returns the effective
+// changes. Apart from missing entries, a list that is newer than the update stays as it is.
+func (l *targetList) applyLeaderUpdate(now time.Duration, update *targetUpdate) *targetUpdate {
+	l.keepMissingUntil = 0 // the leader decides which missing entries to keep
+	change := &targetUpdate{Version: l.version}
+	if update.Full {
+		change.Deleted = l.dropUnlisted(update.Put)
+	}
+	if update.Version >= l.version {
+		change = change.merge(l.apply(now, update))
+	}
+	return change
+}
+
 // apply applies a full list or changes of it, and returns the effective changes.
 func (l *targetList) apply(now time.Duration, update *targetUpdate) *targetUpdate {
 	change := &targetUpdate{Version: update.Version, Put: map[string]routing.Target{}}
@@ -169,6 +184,28 @@
 	return change
 }
 
+// full returns the full list.
+func (l *targetList) full() *targetUpdate {
+	return &targetUpdate{Version: l.version, Full: true, Put: maps.Clone(l.byName)}
+}
+
+// followerUpdate returns what the followers need to know of an update from the store that has
+// been applied. After a full list that is the full list: they may have entries that this
+// instance has never had. Changes contain every entry of the update, also those that have not
+// changed here, because the followers may have the list of another version.
+func (l *targetList) followerUpdate(update *targetUpdate) *targetUpdate {
+	if update.Full {
+		return l.full()
+	}
+	out := &targetUpdate{Version: update.Version, Put: update.Put}
+	for _, name := range update.Deleted {
+		if _, kept := l.byName[name]; !kept {
+			out.Deleted = append(out.Deleted, name)
+		}
+	}
+	return out
+}
+
 // dropUnlisted drops missing entries that the leader's list lacks too, and returns their
 // names. The others are kept and no longer count as missing. The leader's list may be older
 // than this one. But the leader reached the store all the time, so the entries that it lacks
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/boragegate/boragegate/routing"
 	"github.com/boragegate/boragegate/store"
@@ -45,6 +47,80 @@
 		Expect(l.dropExpired(time.Hour)).To(BeEmpty())
 	})
 
+	It("is the store's list at every follower after the leader has read it, whatever either had before", func() {
+		// Guards against requests to a target that has left: a leader that had restarted read the list after a follower had
+		// joined, and sent it the difference from its own empty list, which deletes nothing.
+		type entry struct {
+			name   string
+			target routing.Target
+			exists bool
+		}
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			history := []entry{{}} // by version; the store's first version is 1
+			for range rapid.IntRange(1, 12).Draw(t, "changes") {
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+				history = append(history, entry{name, routing.Target{
+					ID: name, Address: name, Incarnation: 1, Draining: rapid.Bool().Draw(t, "draining"),
+				}, rapid.Bool().Draw(t, "exists")})
+			}
+			newest := len(history) - 1
+			listAt := func(version int) *targetUpdate {
+				update := fullList(store.Version(version))
+				for _, e := range history[1 : version+1] {
+					delete(update.Put, e.name)
+					if e.exists {
+						update.Put[e.name] = e.target
+					}
+				}
+				return update
+			}
+			changesBetween := func(from, to int) *targetUpdate {
+				update := &targetUpdate{Version: store.Version(to), Put: map[string]routing.Target{}}
+				deleted := map[string]bool{}
+				for _, e := range history[from+1 : to+1] {
+					delete(update.Put, e.name)
+					if deleted[e.name] = !e.exists; e.exists {
+						update.Put[e.name] = e.target
+					}
+				}
+				for name, isDeleted := range deleted {
+					if isDeleted {
+						update.Deleted = append(update.Deleted, name)
+					}
+				}
+				return update
+			}
+			newList := func(version int) *targetList {
+				l := newTargetList()
+				if version > 0 {
+					l.apply(0, listAt(version))
+				}
+				return l
+			}
+			leaderVersion := rapid.IntRange(0, newest).Draw(t, "leader's version")
+			leader := newList(leaderVersion)
+			follower := newList(rapid.IntRange(0, newest).Draw(t, "follower's version"))
+			if leaderVersion > 0 { // the state that a follower gets when it joins
+				follower.applyLeaderUpdate(0, leader.full())
+			}
+			for leaderVersion < newest {
+				next := rapid.IntRange(leaderVersion+1, newest).Draw(t, "version read")
+				update := listAt(next)
+				if leaderVersion > 0 && rapid.Bool().Draw(t, "history is known") {
+					update = changesBetween(leaderVersion, next)
+				}
+				leader.apply(0, update)
+				follower.applyLeaderUpdate(0, leader.followerUpdate(update))
+				leaderVersion = next
+			}
+			for name, l := range map[string]*targetList{"leader": leader, "follower": follower} {
+				if !maps.Equal(l.byName, listAt(newest).Put) {
+					t.Fatalf("the %s has %v, the store %v", name, l.byName, listAt(newest).Put)
+				}
+			}
+		})
+	})
+
 	It("lists only the target with the highest incarnation at an address", func() {
 		// Guards against requests to an earlier target whose address another one has taken.
 		update := fullList(2, "a", "b")
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -226,7 +226,7 @@
 			update.Put[o.Name] = t
 		}
 	}
-	c.applyTargetChange(now, c.targets.apply(now, update))
+	c.applyStoreTargets(now, update)
 }
 
 func (c *controlLoop) handleTargetEvents(now time.Duration, events []store.Event, version store.Version) {
@@ -251,7 +251,14 @@
 			update.Put[name] = *t
 		}
 	}
-	c.applyTargetChange(now, c.targets.apply(now, update))
+	c.applyStoreTargets(now, update)
+}
+
+// applyStoreTargets applies a full list of targets or changes of it, as read from the store.
+// The leader passes them on to its followers.
+func (c *controlLoop) applyStoreTargets(now time.Duration, update *targetUpdate) {
+	c.activateTargetChange(now, c.targets.apply(now, update))
+	c.publishTargets(now, c.targets.followerUpdate(update))
 }
 
 func (c *controlLoop) decodeTarget(o store.Object) (routing.Target, bool) {
