End a follower's belief in a store outage with its leader's word

Cause: an instance that steps down cancels its read of the record, and that counted as a failure of the store. Only an answer of the store ended the belief, but an instance with a healthy leader does not call the store. When it led again, up to minutes later, it took removed entries for the trace of an outage, kept them and told all instances to use them. A run with logs shows store.lost with "context canceled" 12 ms after an answer, and store.regained with outage_ms=7467 at the next takeover.

Change: a cancelled call says nothing about the store. A leader that reaches the store ends the belief of its followers. It tells them for how long it still keeps missing entries, at most reregistrationTime, and a successor goes on with that, so that live targets survive a leader that fails right after a true outage. Time for which the process is suspended is no outage.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -85,6 +85,7 @@
 	// since then.
 	lastTickAt      time.Duration
 	eventsSinceTick int
+	lastActiveAt    time.Duration // last event or tick
 
 	configVersion store.Version // of configObject
 	configObject  store.Object  // active configuration, as stored
@@ -100,8 +101,12 @@
 	watches map[string]context.CancelFunc // by kind of object
 
 	lastStoreAnswerAt time.Duration // last response from the store
-	storeFailedSince  time.Duration // start of the current outage, 0 if there is none
-	storeRecovered    chan struct{} // closed at the end of the current outage
+	// storeFailedSince is the start of the current outage as this instance sees it, 0 if there
+	// is none. An answer of the store ends it, or a leader that reaches the store, because an
+	// instance with such a leader does not call the store. Time for which the process was
+	// suspended does not count.
+	storeFailedSince time.Duration
+	storeRecovered   chan struct{} // closed at the end of the current outage
 
 	isLeader atomic.Bool // whether leadership is not nil, for other goroutines
 
@@ -172,8 +177,10 @@
 // instance may lead by now, so it must not act on events that arrived meanwhile before the
 // store has confirmed its term.
 func (c *controlLoop) handle(f func()) {
+	now := socket.BootTime()
+	c.discountSuspension(now)
 	if c.leadership != nil {
-		c.leadership.checkSuspended(socket.BootTime())
+		c.leadership.checkSuspended(now)
 	}
 	c.eventsSinceTick++
 	f()
@@ -192,6 +199,7 @@
 }
 
 func (c *controlLoop) tick(now time.Duration) {
+	c.discountSuspension(now)
 	c.measureLag(now)
 	if c.isCurrent() {
 		c.shared.freshUntil.Store(int64(now + configFreshWindow))
@@ -252,32 +260,6 @@
 	return true
 }
 
-func (c *controlLoop) recordStoreAnswer(now time.Duration) {
-	if c.storeFailedSince > 0 {
-		if now-c.storeFailedSince > minOutageToKeepMissing {
-			c.targets.recordOutageEnd(now)
-		}
-		c.log.Info().Str("event", "store.regained").Dur("outage_ms", now-c.storeFailedSince).Send()
-		c.storeFailedSince = 0
-		close(c.storeRecovered)
-		if c.leadership != nil {
-			c.leadership.broadcast(stateUpdate{}) // before other instances take over
-		}
-	}
-	c.lastStoreAnswerAt = now
-}
-
-func (c *controlLoop) recordStoreFailure(now time.Duration, err error) {
-	c.metrics.storeErrors.Inc(1)
-	if c.storeFailedSince == 0 {
-		c.storeFailedSince, c.storeRecovered = now, make(chan struct{})
-		if c.leadership != nil {
-			c.leadership.broadcast(stateUpdate{})
-		}
-		c.log.Warn().Str("event", "store.lost").Dur("last_answer_ms", now-c.lastStoreAnswerAt).Err(err).Send()
-	}
-}
-
 func (c *controlLoop) configKind() string {
 	kind, _ := c.platform.ConfigObject()
 	return kind
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -44,6 +44,9 @@
 		if wasSuspected {
 			c.log.Info().Str("event", "leader.heard").Str("leader", c.leaderID()).Uint64("term", c.term).Send()
 		}
+		if c.storeFailedSince > 0 {
+			c.endOutage(now, "leader")
+		}
 		for kind := range c.watches {
 			c.stopWatch(kind)
 		}
@@ -71,11 +74,6 @@
 	}
 }
 
-// reachesStore reports whether the store has responded to this instance recently.
-func (c *controlLoop) reachesStore(now time.Duration) bool {
-	return c.storeFailedSince == 0 && c.lastStoreAnswerAt > 0 && now-c.lastStoreAnswerAt < storeReachableWindow
-}
-
 // ageOrUnknown returns the time since at, or -1 ms if at is 0.
 func ageOrUnknown(now, at time.Duration) time.Duration {
 	if at == 0 {
@@ -126,19 +124,20 @@
 		if object.Version == 0 {
 			write = c.store.Create
 		}
-		stored, err := write(c.t.Context(context.Background()), object)
-		c.postUrgent(func() { c.handleTakeOverResult(sentAt, next, stored, err) })
+		ctx := c.t.Context(context.Background())
+		stored, err := write(ctx, object)
+		c.postUrgent(func() { c.handleTakeOverResult(ctx, sentAt, next, stored, err) })
 		return nil
 	})
 }
 
-func (c *controlLoop) handleTakeOverResult(sentAt time.Duration, next *rangelease.Record, stored store.Object, err error) {
+func (c *controlLoop) handleTakeOverResult(ctx context.Context, sentAt time.Duration, next *rangelease.Record, stored store.Object, err error) {
 	c.takingOver = false
 	if err != nil {
 		c.log.Info().Str("event", "leader.take_over_failed").Uint64("term", next.Term).Err(err).Send()
 		c.elector.ClearSuspicion()
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrExists) {
-			c.recordStoreFailure(socket.BootTime(), err)
+			c.recordStoreFailure(ctx, socket.BootTime(), err)
 			return
 		}
 		c.readRecord(c.t.Context(context.Background()), func() {}) // the record names the leader to follow
@@ -149,14 +148,14 @@
 }
 
 // readRecord reads the ownership record in a goroutine of its own. The control loop then
-// applies it and calls onApplied. After a failed read it does neither.
+// applies it and calls onApplied. After a failed or cancelled read it does neither.
 func (c *controlLoop) readRecord(ctx context.Context, onApplied func()) {
 	c.t.Go(func() error {
 		sentAt := socket.BootTime()
 		object, err := c.store.Get(ctx, ownershipRecordKind, ownershipRecordName)
 		c.postUrgent(func() {
 			if err != nil {
-				c.recordStoreFailure(socket.BootTime(), err)
+				c.recordStoreFailure(ctx, socket.BootTime(), err)
 				return
 			}
 			c.applyOwnershipObjects(sentAt, []store.Object{object})
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -244,6 +244,7 @@
 	update.Term, update.Instances, update.GrantsPermits = l.grantor.Term(), len(l.followers)+1, true
 	update.StoreUnreachable = l.c.storeFailedSince > 0
 	now := socket.BootTime()
+	update.KeepMissing = l.c.targets.keepMissingFor(now)
 	update.OutstandingLeases = l.grantor.OutstandingLeases(now, outstandingLeasesHorizon)
 	update.StoreAge = max(l.grantor.TermConfirmationAge(now), 0)
 	frame, err := encodeStateUpdate(&update)
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -189,6 +189,9 @@
 	c.term, c.lastUpdateAt, c.leaderStoreAnswerAt, c.leaderRefused = update.Term, now, now-update.StoreAge, false
 	c.leaderStoreUnreachable, c.leaderEnded = update.StoreUnreachable, false
 	c.leaderLeases, c.leaderLeasesAt = update.OutstandingLeases, now
+	if !update.StoreUnreachable {
+		c.targets.setKeepMissingFor(now, update.KeepMissing)
+	}
 	c.setInstanceCount(update.Instances)
 	c.elector.SetCandidates(update.Candidates)
 	if update.Leader != nil && c.record != nil {
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -88,6 +88,9 @@
 	StoreAge time.Duration `msgpack:"a"`
 	// StoreUnreachable is set if the leader cannot reach the store.
 	StoreUnreachable bool `msgpack:"l,omitempty"`
+	// KeepMissing is the time for which the leader still keeps targets that the store lacks
+	// after an outage. An instance that takes over keeps them for the rest of it.
+	KeepMissing time.Duration `msgpack:"h,omitempty"`
 	// OutstandingLeases are the leader's leases that remain valid if it exits within
 	// outstandingLeasesHorizon.
 	OutstandingLeases rangelease.OutstandingLeases `msgpack:"f"`
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,6 +15,7 @@
 type instanceMetrics struct {
 	registry            gometrics.Registry
 	storeErrors         gometrics.Counter
+	storeOutage         gometrics.Gauge // 1 during an outage of the store as this instance sees it, else 0
 	targets             gometrics.Gauge
 	configFindings      gometrics.Gauge
 	controlLag          gometrics.Timer
@@ -42,6 +43,7 @@
 	return &instanceMetrics{
 		registry:            r,
 		storeErrors:         counter("boragegate_store_errors_total"),
+		storeOutage:         gometrics.NewRegisteredGauge("boragegate_store_outage", r),
 		targets:             gometrics.NewRegisteredGauge("boragegate_targets", r),
 		controlLag:          registeredTimer(r, "boragegate_control_lag_seconds"),
 		configFindings:      gometrics.NewRegisteredGauge("boragegate_config_findings", r),
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -27,7 +27,8 @@
 	byName  map[string]routing.Target
 	// dropAt has the times at which missing entries are dropped, by name.
 	dropAt map[string]time.Duration
-	// keepMissingUntil is the time until which missing entries are kept.
+	// keepMissingUntil is the time until which entries are kept that updates from the store lack.
+	// While another instance leads and reaches the store, it is that instance's.
 	keepMissingUntil time.Duration
 
 	// byAddress has the names of the entries by address. Only the one with the highest
@@ -116,6 +117,16 @@
 	l.keepMissingUntil = now + reregistrationTime
 }
 
+// keepMissingFor returns the time for which entries are kept that updates from the store lack.
+func (l *targetList) keepMissingFor(now time.Duration) time.Duration {
+	return max(l.keepMissingUntil-now, 0)
+}
+
+// setKeepMissingFor sets that time to the leader's, but at most to reregistrationTime.
+func (l *targetList) setKeepMissingFor(now, d time.Duration) {
+	l.keepMissingUntil = now + min(d, reregistrationTime)
+}
+
 // put adds or replaces an entry and cancels its pending removal. It reports whether
 // anything changed.
 func (l *targetList) put(name string, t routing.Target) bool {
@@ -130,14 +141,14 @@
 
 // remove drops an entry that an update deletes or lacks, or schedules that if it may be
 // missing only because of an outage. It reports whether the entry was dropped.
-func (l *targetList) remove(now time.Duration, name string) bool {
+func (l *targetList) remove(now time.Duration, name string, keepMissingUntil time.Duration) bool {
 	t, known := l.byName[name]
 	if !known {
 		return false
 	}
-	if now < l.keepMissingUntil && !t.Draining {
+	if now < keepMissingUntil && !t.Draining {
 		if _, scheduled := l.dropAt[name]; !scheduled {
-			l.dropAt[name] = l.keepMissingUntil
+			l.dropAt[name] = keepMissingUntil
 		}
 		return false
 	}
@@ -148,19 +159,24 @@
 // applyLeaderUpdate applies the leader's full list or changes of it, and returns the effective
 // changes. Apart from missing entries, a list that is newer than the update stays as it is.
 func (l *targetList) applyLeaderUpdate(now time.Duration, update *targetUpdate) *targetUpdate {
-	l.keepMissingUntil = 0 // the leader decides which missing entries to keep
 	change := &targetUpdate{Version: l.version}
 	if update.Full {
 		change.Deleted = l.dropUnlisted(update.Put)
 	}
-	if update.Version >= l.version {
-		change = change.merge(l.apply(now, update))
+	if update.Version >= l.version { // the leader decides which missing entries are kept
+		change = change.merge(l.applyKeeping(now, update, 0))
 	}
 	return change
 }
 
-// apply applies a full list or changes of it, and returns the effective changes.
+// apply applies a full list from the store or changes of it, and returns the effective changes.
 func (l *targetList) apply(now time.Duration, update *targetUpdate) *targetUpdate {
+	return l.applyKeeping(now, update, l.keepMissingUntil)
+}
+
+// applyKeeping applies an update and returns the effective changes. Until the given time it
+// keeps entries that the update deletes or lacks.
+func (l *targetList) applyKeeping(now time.Duration, update *targetUpdate, keepMissingUntil time.Duration) *targetUpdate {
 	change := &targetUpdate{Version: update.Version, Put: map[string]routing.Target{}}
 	for name, t := range update.Put {
 		if l.put(name, t) {
@@ -176,7 +192,7 @@
 		}
 	}
 	for _, name := range deleted {
-		if l.remove(now, name) {
+		if l.remove(now, name, keepMissingUntil) {
 			change.Deleted = append(change.Deleted, name)
 		}
 	}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -121,7 +121,7 @@
 	recoveredResult := make(chan (<-chan struct{}), 1)
 	shouldProbe := kind == ownershipRecordKind
 	c.postUrgent(func() {
-		c.recordStoreFailure(socket.BootTime(), err)
+		c.recordStoreFailure(ctx, socket.BootTime(), err)
 		if c.watches[ownershipRecordKind] == nil {
 			recoveredResult <- nil
 			return
