Tell followers which targets are kept although the store lacks them

Callers' requests could have gone to a target that has left, without end.

Change: state updates name the entries that are kept with the time that is left, and followers drop them themselves when it is over.

Evidence: the new table of specs fails in its three cases without the line that sets the time.

--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -153,7 +153,7 @@
 	l.publishNow(now) // otherwise pending changes would be sent twice
 	update := stateUpdate{Leader: &l.c.self, Candidates: l.publishedCandidates, Owners: map[string]*ownersUpdate{}, OfferedLoad: &offeredLoadUpdate{l.offeredLoads}, Leaving: l.c.leaving.list(), RateLimits: l.c.shared.rateLimitNotices(now)}
 	if l.c.targets.version > 0 {
-		update.Targets = l.c.targets.full()
+		update.Targets = l.c.targets.full(now)
 	}
 	for service, owners := range l.c.owners {
 		update.Owners[service] = encodeOwners(owners, true)
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -170,28 +170,39 @@
 	Full    bool                      `msgpack:"w,omitempty"`
 	Put     map[string]routing.Target `msgpack:"p,omitempty"`
 	Deleted []string                  `msgpack:"d,omitempty"`
+	// Missing has entries that the store lacks but that the leader keeps after an outage of
+	// the store, with the time for which it still does. They may be in Put too.
+	Missing map[string]time.Duration `msgpack:"m,omitempty"`
 }
 
 // isEmpty reports whether the update changes no entry.
-func (u *targetUpdate) isEmpty() bool { return !u.Full && len(u.Put)+len(u.Deleted) == 0 }
+func (u *targetUpdate) isEmpty() bool {
+	return !u.Full && len(u.Put)+len(u.Deleted)+len(u.Missing) == 0
+}
 
 // merge returns the changes of u followed by later ones. u may be nil.
 func (u *targetUpdate) merge(later *targetUpdate) *targetUpdate {
 	if u == nil || later.Full {
 		return later
 	}
-	merged := &targetUpdate{Version: later.Version, Full: u.Full, Put: map[string]routing.Target{}}
+	merged := &targetUpdate{Version: later.Version, Full: u.Full, Put: map[string]routing.Target{}, Missing: map[string]time.Duration{}}
 	maps.Copy(merged.Put, u.Put)
+	maps.Copy(merged.Missing, u.Missing)
 	for _, name := range u.Deleted {
 		if _, ok := later.Put[name]; !ok {
 			merged.Deleted = append(merged.Deleted, name)
 		}
 	}
-	maps.Copy(merged.Put, later.Put)
+	for name, t := range later.Put {
+		merged.Put[name] = t
+		delete(merged.Missing, name)
+	}
 	for _, name := range later.Deleted {
 		delete(merged.Put, name)
+		delete(merged.Missing, name)
 		merged.Deleted = append(merged.Deleted, name)
 	}
+	maps.Copy(merged.Missing, later.Missing)
 	return merged
 }
 
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -161,10 +161,18 @@
 func (l *targetList) applyLeaderUpdate(now time.Duration, update *targetUpdate) *targetUpdate {
 	change := &targetUpdate{Version: l.version}
 	if update.Full {
-		change.Deleted = l.dropUnlisted(update.Put)
+		change.Deleted = l.dropUnlisted(update)
 	}
-	if update.Version >= l.version { // the leader decides which missing entries are kept
-		change = change.merge(l.applyKeeping(now, update, 0))
+	if update.Version < l.version {
+		return change
+	}
+	// The leader decides which missing entries are kept. They are dropped here too when their
+	// time is over, since the leader may have failed by then.
+	change = change.merge(l.applyKeeping(now, update, 0))
+	for name, d := range update.Missing {
+		if _, known := l.byName[name]; known {
+			l.dropAt[name] = now + min(d, reregistrationTime)
+		}
 	}
 	return change
 }
@@ -200,40 +208,47 @@
 	return change
 }
 
-// full returns the full list.
-func (l *targetList) full() *targetUpdate {
-	return &targetUpdate{Version: l.version, Full: true, Put: maps.Clone(l.byName)}
+// full returns the full list, with the entries that are kept although the store lacks them.
+func (l *targetList) full(now time.Duration) *targetUpdate {
+	update := &targetUpdate{Version: l.version, Full: true, Put: maps.Clone(l.byName), Missing: map[string]time.Duration{}}
+	for name, dropAt := range l.dropAt {
+		update.Missing[name] = max(dropAt-now, 0)
+	}
+	return update
 }
 
 // followerUpdate returns what the followers need to know of an update from the store that has
 // been applied. After a full list that is the full list: they may have entries that this
 // instance has never had. Changes contain every entry of the update, also those that have not
 // changed here, because the followers may have the list of another version.
-func (l *targetList) followerUpdate(update *targetUpdate) *targetUpdate {
+func (l *targetList) followerUpdate(now time.Duration, update *targetUpdate) *targetUpdate {
 	if update.Full {
-		return l.full()
+		return l.full(now)
 	}
-	out := &targetUpdate{Version: update.Version, Put: update.Put}
+	out := &targetUpdate{Version: update.Version, Put: update.Put, Missing: map[string]time.Duration{}}
 	for _, name := range update.Deleted {
-		if _, kept := l.byName[name]; !kept {
+		if dropAt, kept := l.dropAt[name]; kept {
+			out.Missing[name] = max(dropAt-now, 0)
+		} else {
 			out.Deleted = append(out.Deleted, name)
 		}
 	}
 	return out
 }
 
-// dropUnlisted drops missing entries that the leader's list lacks too, and returns their
-// names. The others are kept and no longer count as missing. The leader's list may be older
-// than this one. But the leader reached the store all the time, so the entries that it lacks
-// did not expire in an outage of this instance.
-func (l *targetList) dropUnlisted(leaderTargets map[string]routing.Target) []string {
+// dropUnlisted drops missing entries that the leader's full list lacks too, and returns their
+// names. Entries that are not missing in that list are not missing here any more. It may be
+// older than this list. But the leader reached the store all the time, so the entries that it
+// lacks did not expire in an outage of this instance.
+func (l *targetList) dropUnlisted(full *targetUpdate) []string {
 	var names []string
 	for name := range l.dropAt {
-		if _, ok := leaderTargets[name]; !ok {
+		if _, ok := full.Put[name]; !ok {
 			names = append(names, name)
 			l.drop(name)
+		} else if _, missing := full.Missing[name]; !missing {
+			delete(l.dropAt, name)
 		}
-		delete(l.dropAt, name)
 	}
 	return names
 }
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -42,11 +42,38 @@
 		// is older than the one that this instance has just read.
 		l.recordOutageEnd(time.Second)
 		l.apply(time.Second, fullList(9, "a"))
-		Expect(l.dropUnlisted(fullList(5, "a").Put)).To(ConsistOf("b"))
+		Expect(l.dropUnlisted(fullList(5, "a"))).To(ConsistOf("b"))
 		Expect(l.liveTargets()).To(HaveLen(1))
 		Expect(l.dropExpired(time.Hour)).To(BeEmpty())
 	})
 
+	DescribeTable("drops entries that the leader keeps after an outage when their time is over, also without that leader",
+		// Guards against requests to a target that has left: the instance that led next did not know that its predecessor had
+		// only kept the entry, read on from a later version of the store, and never dropped it.
+		func(tell func(leader *targetList, update *targetUpdate) *targetUpdate) {
+			follower := newTargetList()
+			follower.apply(0, fullList(1, "a", "b"))
+			l.recordOutageEnd(time.Second)
+			update := &targetUpdate{Version: 2, Put: map[string]routing.Target{}, Deleted: []string{"a", "b"}}
+			l.apply(time.Second, update)
+			Expect(follower.applyLeaderUpdate(time.Second, tell(l, update)).isEmpty()).To(BeTrue())
+			Expect(follower.liveTargets()).To(HaveLen(2))
+
+			again := &targetUpdate{Version: 3, Put: map[string]routing.Target{"a": l.byName["a"]}} // registered again, unchanged
+			l.apply(time.Second, again)
+			follower.applyLeaderUpdate(time.Second, l.followerUpdate(time.Second, again))
+			Expect(follower.dropExpired(time.Second + reregistrationTime)).To(ConsistOf("b"))
+			Expect(follower.liveTargets()).To(ConsistOf(HaveField("ID", "a")))
+		},
+		Entry("told as a change", func(leader *targetList, update *targetUpdate) *targetUpdate {
+			return leader.followerUpdate(time.Second, update)
+		}),
+		Entry("told with the full list", func(leader *targetList, _ *targetUpdate) *targetUpdate { return leader.full(time.Second) }),
+		Entry("told as a change that waits for a later one", func(leader *targetList, update *targetUpdate) *targetUpdate {
+			return leader.followerUpdate(time.Second, update).merge(&targetUpdate{Version: 2})
+		}),
+	)
+
 	It("is the store's list at every follower after the leader has read it, whatever either had before", func() {
 		// Guards against requests to a target that has left: a leader that had restarted read the list after a follower had
 		// joined, and sent it the difference from its own empty list, which deletes nothing.
@@ -101,7 +128,7 @@
 			leader := newList(leaderVersion)
 			follower := newList(rapid.IntRange(0, newest).Draw(t, "follower's version"))
 			if leaderVersion > 0 { // the state that a follower gets when it joins
-				follower.applyLeaderUpdate(0, leader.full())
+				follower.applyLeaderUpdate(0, leader.full(0))
 			}
 			for leaderVersion < newest {
 				next := rapid.IntRange(leaderVersion+1, newest).Draw(t, "version read")
@@ -110,7 +137,7 @@
 					update = changesBetween(leaderVersion, next)
 				}
 				leader.apply(0, update)
-				follower.applyLeaderUpdate(0, leader.followerUpdate(update))
+				follower.applyLeaderUpdate(0, leader.followerUpdate(0, update))
 				leaderVersion = next
 			}
 			for name, l := range map[string]*targetList{"leader": leader, "follower": follower} {
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -258,7 +258,7 @@
 // The leader passes them on to its followers.
 func (c *controlLoop) applyStoreTargets(now time.Duration, update *targetUpdate) {
 	c.activateTargetChange(now, c.targets.apply(now, update))
-	c.publishTargets(now, c.targets.followerUpdate(update))
+	c.publishTargets(now, c.targets.followerUpdate(now, update))
 }
 
 func (c *controlLoop) decodeTarget(o store.Object) (routing.Target, bool) {
