End a streamed response at the deadline of its request

Cause: the deadline held while a response is buffered. From 1 MB on the body is a stream, which outlives the context of the attempt and took nothing from it, not the deadline either. Only the time between two reads was bounded.

Change: a stream ends at the deadline, read or not: its connection is closed and the caller's response ends early. Writes of a streamed response to a caller that does not read end then too. A response that was received whole is still delivered late. A caller's partial response is logged as response.cut with the request's ID and counted.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -27,6 +27,7 @@
 	retriedRequests     gometrics.Counter
 	targetConnections   gometrics.Counter
 	abortedConnections  gometrics.Counter
+	cutResponses        gometrics.Counter // responses of which the caller got only a part
 	logLinesLost        gometrics.Counter
 	leavingTargets      gometrics.Counter
 	pauses              gometrics.Counter
@@ -55,6 +56,7 @@
 		retriedRequests:     counter("boragegate_requests_repeated_total"),
 		targetConnections:   counter("boragegate_target_connections_total"),
 		abortedConnections:  counter("boragegate_caller_connections_aborted_total"),
+		cutResponses:        counter("boragegate_responses_cut_total"),
 		logLinesLost:        counter("boragegate_log_lines_lost_total"),
 		leavingTargets:      counter("boragegate_targets_leaving_total"),
 		pauses:              counter("boragegate_target_pauses_total"),
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -89,5 +90,35 @@
 		Int("status", r.Status).Str("route", c.route.Name).Str("target", a.target.ID).Int("key", c.key).Int("sent", c.sentAttempts).
 		Dur("took_ms", time.Since(c.request.Arrived)).Uint64("config_version", c.configVersion).Send()
 	c.f.metrics.countRequest(c.route.Kind.String(), "answered", time.Since(c.request.Arrived))
+	if r.Stream != nil {
+		r.Stream = &relayedStream{ReadCloser: r.Stream, onCut: func(err error) {
+			c.f.metrics.cutResponses.Inc(1)
+			c.f.log.StartEvent(zerolog.WarnLevel, "response.cut").Str("request", c.request.Header.Get(c.f.headers.RequestID)).
+				Str("target", a.target.ID).Bool("deadline", !time.Now().Before(r.Deadline)).Dur("took_ms", time.Since(c.request.Arrived)).Err(err).Send()
+		}}
+	}
 	return r
 }
+
+// relayedStream is a response stream that reports when it is closed before its end.
+type relayedStream struct {
+	io.ReadCloser
+	readErr error
+	// onCut is called with the error of the last read, nil if it was successful.
+	onCut func(readErr error)
+}
+
+// Read implements io.Reader.
+func (s *relayedStream) Read(p []byte) (n int, err error) {
+	n, s.readErr = s.ReadCloser.Read(p)
+	return n, s.readErr
+}
+
+// Close closes the stream. It must not be called concurrently with Read.
+func (s *relayedStream) Close() error {
+	if !errors.Is(s.readErr, io.EOF) && s.onCut != nil {
+		s.onCut(s.readErr)
+	}
+	s.onCut = nil
+	return s.ReadCloser.Close()
+}
--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 )
 
 // Response is an HTTP response that is forwarded from a backend server to a caller.
@@ -14,6 +15,9 @@
 	// Stream provides the remaining body. It is read to its end and closed. If a read
 	// fails, the caller's connection is closed with an incomplete response.
 	Stream io.ReadCloser
+	// Deadline is the time by which a response with a Stream has to be written; then Stream
+	// ends with an error. The zero value means none.
+	Deadline time.Time
 	// Length is the length of the whole body including Stream, or -1 if it is unknown.
 	Length int64
 	// Close closes the caller's connection after the response, unless pipelined requests
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -25,6 +25,11 @@
 	RunSpecs(t, "ingress")
 }
 
+// readerFunc is an io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 var _ = Describe("Server", func() {
 	var (
 		server       *ingress.Server
@@ -70,6 +75,9 @@
 				return &ingress.Response{Status: 200, Header: http.Header{}, Length: 100, Stream: io.NopCloser(strings.NewReader("short"))}
 			case r.URL.Path == "/stream":
 				return &ingress.Response{Status: 200, Header: http.Header{}, Length: -1, Body: []byte("ab"), Stream: io.NopCloser(strings.NewReader("cd"))}
+			case r.URL.Path == "/endless":
+				endless := io.NopCloser(readerFunc(func(p []byte) (int, error) { return len(p), nil }))
+				return &ingress.Response{Status: 200, Header: http.Header{}, Length: -1, Stream: endless, Deadline: r.Arrived.Add(200 * time.Millisecond)}
 			case r.URL.Path == "/refused":
 				return &ingress.Response{Status: 503, Header: http.Header{"Retry-After": {"0.1"}}, Close: true}
 			case r.URL.Path == "/nothing":
@@ -116,6 +124,18 @@
 		}
 	})
 
+	It("stops writing a streamed response at its deadline to a caller that does not read", func() {
+		// Guards against a response that holds its goroutine and its target's connection for as long as a slow caller likes.
+		c, r := dial()
+		start := time.Now()
+		send(c, "GET /endless HTTP/1.1\nHost: h\n\n")
+		Eventually(server.InFlight, "1s", "1ms").Should(Equal(1))
+		Eventually(server.InFlight, "2s", "5ms").Should(BeZero())
+		Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+		_, _, err := readResponse(r)
+		Expect(err).To(HaveOccurred(), "the response must not look whole")
+	})
+
 	It("cancels all handlers of a connection when the caller disconnects", func() {
 		// Guards against requests that are forwarded for callers that have disconnected.
 		c, _ := dial()
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -15,7 +15,7 @@
 // writeResponse writes a response, with "Connection: close" if the connection closes after it.
 func (c *conn) writeResponse(x *exchange, closeConn bool) error {
 	r := x.response
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.nc.SetWriteDeadline(writeDeadline(r))
 	var b bytes.Buffer
 	b.Grow(512)
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.Status) + " " + http.StatusText(r.Status) + "\r\n")
@@ -79,20 +79,30 @@
 // an error if the stream is not as long as r.Length requires.
 func (c *conn) writeStream(w io.Writer, r *Response) error {
 	remaining := r.Length - int64(len(r.Body))
-	n, err := io.Copy(&deadlineWriter{c.nc, w}, r.Stream)
+	n, err := io.Copy(&deadlineWriter{c.nc, w, r}, r.Stream)
 	if err == nil && r.Length >= 0 && n != remaining {
 		err = io.ErrUnexpectedEOF
 	}
 	return errors.Join(err, r.Stream.Close())
 }
 
-// deadlineWriter sets a new deadline of writeTimeout for each write.
+// writeDeadline returns the time by which a write of the response that begins now has to end.
+func writeDeadline(r *Response) time.Time {
+	deadline := time.Now().Add(writeTimeout)
+	if r.Stream != nil && !r.Deadline.IsZero() && r.Deadline.Before(deadline) {
+		return r.Deadline
+	}
+	return deadline
+}
+
+// deadlineWriter sets a new deadline for each write of a response.
 type deadlineWriter struct {
 	nc net.Conn
 	w  io.Writer
+	r  *Response
 }
 
 func (d *deadlineWriter) Write(p []byte) (int, error) {
-	_ = d.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = d.nc.SetWriteDeadline(writeDeadline(d.r))
 	return d.w.Write(p)
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,8 +24,6 @@
 	// completely. If such a body is truncated, the request can still be retried on another
 	// target.
 	maxBufferedBodyBytes = 1 << 20
-	// streamTimeout bounds the time between two reads of a streamed response body.
-	streamTimeout = 10 * time.Second
 	// maxMismatched is the maximum number of responses to other requests that are skipped.
 	maxMismatched = 4
 	// maxMismatchedBytes bounds the body of a response to another request that is skipped.
@@ -65,7 +63,8 @@
 // Do sends a request to a target and returns its response. The error wraps
 // ErrNotSent if the target cannot have received any of the request. When the context
 // is done, the connection is closed, which makes most servers cancel the request. A
-// Stream in the response must be closed; it does not depend on the context.
+// Stream in the response must be closed. It ends at the deadline of the context, but does
+// not depend on its cancellation.
 func (c *Client) Do(ctx context.Context, t *routing.Target, r *Request) (*Response, error) {
 	cn, err := c.acquire(ctx, t, r.Used)
 	if err != nil {
@@ -81,7 +80,8 @@
 	resp, reusable, err := cn.roundTrip(r)
 	reusable = stop() && reusable
 	if resp != nil && resp.Stream != nil {
-		resp.Stream = &responseStream{r: resp.Stream, cn: cn}
+		resp.Deadline, _ = ctx.Deadline()
+		resp.Stream = newResponseStream(resp.Stream, cn, resp.Deadline)
 		return resp, nil
 	}
 	if err != nil {
@@ -98,26 +98,6 @@
 	return resp, nil
 }
 
-// responseStream is the remaining body of a large response. It does not depend on the
-// context of Do, which is cancelled when the request's handler returns. Its connection is
-// not reused.
-type responseStream struct {
-	r  io.Reader
-	cn *conn
-}
-
-// Read returns an error if the server sends nothing for streamTimeout.
-func (s *responseStream) Read(p []byte) (int, error) {
-	_ = s.cn.nc.SetReadDeadline(time.Now().Add(streamTimeout))
-	return s.r.Read(p)
-}
-
-// Close closes the connection.
-func (s *responseStream) Close() error {
-	s.cn.client.release(s.cn, false)
-	return nil
-}
-
 // roundTrip writes the request and reads the response. It reports whether the
 // connection can be reused.
 func (cn *conn) roundTrip(r *Request) (*Response, bool, error) {
--- a/internal/upstream/unbounded_response_test.go
+++ b/internal/upstream/unbounded_response_test.go
@@ -22,16 +22,19 @@
 const maxSentBytes = 16 << 20
 
 var _ = Describe("unbounded data from a server", func() {
-	// receiveUnbounded sends a request to a server that responds with prefix and then
-	// sends repeated again and again until its connection is closed. It returns the result
-	// of the request and the number of bytes that the server sent.
-	receiveUnbounded := func(prefix, repeated string) (*upstream.Response, int, error) {
+	// startUnbounded starts a server that responds with prefix and then sends repeated again
+	// and again until its connection is closed. receiveUnbounded sends it a request, and
+	// returns the result and the number of bytes that the server sent.
+	var client *upstream.Client
+	var target *routing.Target
+	var sent chan int
+	startUnbounded := func(prefix, repeated string) {
 		ignore := goleak.IgnoreCurrent()
 		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = l.Close() })
-		sent := make(chan int, 1)
+		sent = make(chan int, 1)
 		go func() {
 			c, err := l.Accept()
 			if err != nil {
@@ -51,12 +54,16 @@
 			}
 			sent <- n
 		}()
-		client := &upstream.Client{IDHeader: "X-Id", MaxConnections: func(string) int { return 0 }}
-		target := &routing.Target{ID: "t", Incarnation: 1, Address: l.Addr().String()}
+		client = &upstream.Client{IDHeader: "X-Id", MaxConnections: func(string) int { return 0 }}
+		target = &routing.Target{ID: "t", Incarnation: 1, Address: l.Addr().String()}
+	}
+	request := &upstream.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, ID: "1"}
+	receiveUnbounded := func(prefix, repeated string) (*upstream.Response, int, error) {
+		startUnbounded(prefix, repeated)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		start := time.Now()
-		resp, err := client.Do(ctx, target, &upstream.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, ID: "1"})
+		resp, err := client.Do(ctx, target, request)
 		Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second), "the request must not wait for its deadline")
 		if resp != nil && resp.Stream != nil {
 			Expect(resp.Stream.Close()).To(Succeed())
@@ -99,6 +106,22 @@
 		Expect(string(resp.Body)).To(Equal("ok"))
 		Expect(sent).To(BeNumerically("<", maxSentBytes))
 	})
+	It("is not kept on a connection beyond the deadline of the request if nobody reads it", func() {
+		// Guards against a connection that stays counted against the limit of its server, because the response waits behind
+		// another one for its caller.
+		startUnbounded("HTTP/1.1 200 OK\nX-Id: 1\n\n", "x")
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		resp, err := client.Do(ctx, target, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(client.Connections()).To(Equal(1))
+		Eventually(client.Connections, "1s").Should(BeZero())
+		Eventually(sent, "1s").Should(Receive())
+		_, err = io.Copy(io.Discard, resp.Stream)
+		Expect(err).To(MatchError(upstream.ErrDeadline))
+		Expect(resp.Stream.Close()).To(Succeed())
+		Expect(client.Connections()).To(BeZero())
+	})
 	DescribeTable("is streamed if it belongs to the body, until the stream is closed",
 		func(prefix, repeated string) {
 			resp, sent, err := receiveUnbounded(prefix, repeated)
