Release responses that are not passed on

Callers would have got 503 in time: connections to targets stayed open and counted against the limit of the target.

Cause: three paths did not close the stream of a response that they did not use: a large success that is not from a target, a large failure when the caller disconnected, and a response that waits behind another one on a caller's connection that breaks.

Change: Response.Release; the call releases what it does not return, and a caller's connection what it has not written when it ends.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -62,6 +62,7 @@
 // the caller has disconnected.
 func (c *proxyCall) run(ctx context.Context) *ingress.Response {
 	defer c.discardPending()
+	defer func() { c.discard(c.failedAttempt) }()
 	defer func() { c.f.shared.stopAwaitingPermit(c.decision.Ticket) }()
 	for {
 		hedgeDelay, response := c.decide(ctx)
@@ -87,7 +88,7 @@
 	go func() {
 		for range c.pending {
 			a := <-c.results
-			c.closeStream(&a)
+			c.discard(&a)
 		}
 	}()
 }
@@ -304,7 +305,7 @@
 	case dispatch.Succeeded:
 		return c.relay(a), false
 	case dispatch.Failed:
-		c.closeStream(c.failedAttempt)
+		c.discard(c.failedAttempt)
 		c.failedAttempt = a
 		if c.canRetry() {
 			return nil, true
@@ -322,7 +323,7 @@
 
 // handleNotRun handles a response that says that the target did not run the request.
 func (c *proxyCall) handleNotRun(ctx context.Context, a *attempt) (*ingress.Response, bool) {
-	c.closeStream(a)
+	c.discard(a)
 	c.execution.provenNotRun++
 	if a.response.Status == http.StatusBadRequest && a.result == dispatch.Shed {
 		return c.relay(a), false
@@ -340,6 +341,7 @@
 // handleNoResponse handles an attempt that ended without a usable response, which
 // dispatch counts as NoResponse, Reset or Canceled.
 func (c *proxyCall) handleNoResponse(ctx context.Context, a *attempt) (*ingress.Response, bool) {
+	c.discard(a) // a success that is not from a target has a response
 	if a.notSent {
 		c.execution.provenNotRun++
 	}
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -73,17 +73,17 @@
 	}
 }
 
-// closeStream closes the body stream of an attempt's response. a may be nil.
-func (c *proxyCall) closeStream(a *attempt) {
-	if a != nil && a.response != nil && a.response.Stream != nil {
-		_ = a.response.Stream.Close()
+// discard releases the response of an attempt that is not relayed. a may be nil.
+func (c *proxyCall) discard(a *attempt) {
+	if a != nil {
+		_ = a.response.Release()
 	}
 }
 
 // relay returns a target's response to the caller.
 func (c *proxyCall) relay(a *attempt) *ingress.Response {
-	if a != c.failedAttempt {
-		c.closeStream(c.failedAttempt)
+	if a == c.failedAttempt {
+		c.failedAttempt = nil // not to be discarded
 	}
 	r := a.response
 	c.f.log.StartEvent(zerolog.InfoLevel, "request.answered").Str("request", c.request.Header.Get(c.f.headers.RequestID)).
--- a/internal/edge/outcome_test.go
+++ b/internal/edge/outcome_test.go
@@ -25,6 +25,16 @@
 	provesNotRun bool
 }
 
+// countedStream is an empty stream that decrements a counter when it is closed.
+type countedStream struct{ open *int }
+
+func (countedStream) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (s countedStream) Close() error {
+	*s.open--
+	return nil
+}
+
 var _ = Describe("the status of a request without a success", func() {
 	refusal := &upstream.Response{Status: 503}
 	results := []attemptResult{
@@ -72,6 +82,31 @@
 		})
 	})
 
+	It("releases the responses that are not passed on", func() {
+		// Guards against connections to targets that are never closed: of a large success that is not from a target, and of a
+		// large failure after which another attempt succeeded or the caller disconnected.
+		open := 0
+		large := func(result dispatch.Result, status int) attempt {
+			open++
+			return attempt{result: result, response: &upstream.Response{Status: status, Stream: countedStream{&open}}}
+		}
+		c := newCall(routing.Idempotent)
+		for _, a := range []attempt{large(dispatch.NoResponse, 200), large(dispatch.Failed, 500), large(dispatch.Failed, 500), {result: dispatch.Succeeded, response: &upstream.Response{Status: 200}}} {
+			c.recordStart(routing.Target{ID: "t"})
+			c.results <- a
+		}
+		Expect(c.run(context.Background()).Status).To(Equal(200))
+		Expect(open).To(BeZero())
+
+		c = newCall(routing.Idempotent)
+		a := large(dispatch.Failed, 500)
+		c.failedAttempt = &a
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(c.run(gone)).To(BeNil())
+		Expect(open).To(BeZero())
+	})
+
 	It("delivers a response that has arrived when the deadline passes", func() {
 		// Guards against a 504 in place of an answer that waits to be handled.
 		for range 20 {
--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -12,8 +12,8 @@
 	Header http.Header
 	// Body is the whole body if Stream is nil, and otherwise the part before Stream.
 	Body []byte
-	// Stream provides the remaining body. It is read to its end and closed. If a read
-	// fails, the caller's connection is closed with an incomplete response.
+	// Stream provides the remaining body. It is read to its end. If a read fails, the
+	// caller's connection is closed with an incomplete response. Release closes it.
 	Stream io.ReadCloser
 	// Deadline is the time by which a response with a Stream has to be written; then Stream
 	// ends with an error. The zero value means none.
@@ -24,3 +24,12 @@
 	// are queued on it.
 	Close bool
 }
+
+// Release closes Stream. It has to be called once the response is written or no longer needed,
+// and may be called again.
+func (r *Response) Release() error {
+	if r == nil || r.Stream == nil {
+		return nil
+	}
+	return r.Stream.Close()
+}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -116,9 +116,7 @@
 	if status == 0 || response == nil || response.Status < http.StatusInternalServerError {
 		return response
 	}
-	if response.Stream != nil {
-		_ = response.Stream.Close()
-	}
+	_ = response.Release()
 	return &Response{Status: status, Header: http.Header{}, Close: true}
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -92,6 +92,9 @@
 	c.handlers.Wait()
 	c.mu.Lock()
 	unanswered := len(c.queue)
+	for _, x := range c.queue {
+		_ = x.response.Release() // not written, or not completely
+	}
 	c.mu.Unlock()
 	if unanswered > 0 && c.s.OnAbort != nil {
 		c.s.OnAbort(reason, unanswered)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -30,6 +30,18 @@
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
 
+// closeSignal is a stream that closes a channel when it is closed for the first time.
+type closeSignal struct {
+	io.Reader
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (s *closeSignal) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
 var _ = Describe("Server", func() {
 	var (
 		server       *ingress.Server
@@ -37,13 +49,14 @@
 		listener     net.Listener
 		disconnected chan string
 		release      chan struct{}
+		streamClosed chan struct{}
 		idleTimeout  atomic.Int64 // idle timeout, as a time.Duration
 	)
 	BeforeEach(func() {
 		ignore := goleak.IgnoreCurrent()
 		DeferCleanup(func() { goleak.VerifyNone(GinkgoTB(), ignore) })
 		idleTimeout.Store(int64(ingress.DefaultLimits.IdleTimeout))
-		disconnected, release = make(chan string, 10), make(chan struct{})
+		disconnected, release, streamClosed = make(chan string, 10), make(chan struct{}), make(chan struct{})
 		server = &ingress.Server{
 			Limits: func() ingress.Limits {
 				l := ingress.DefaultLimits
@@ -75,6 +88,8 @@
 				return &ingress.Response{Status: 200, Header: http.Header{}, Length: 100, Stream: io.NopCloser(strings.NewReader("short"))}
 			case r.URL.Path == "/stream":
 				return &ingress.Response{Status: 200, Header: http.Header{}, Length: -1, Body: []byte("ab"), Stream: io.NopCloser(strings.NewReader("cd"))}
+			case r.URL.Path == "/closer":
+				return &ingress.Response{Status: 200, Header: http.Header{}, Length: -1, Stream: &closeSignal{Reader: strings.NewReader("x"), closed: streamClosed}}
 			case r.URL.Path == "/endless":
 				endless := io.NopCloser(readerFunc(func(p []byte) (int, error) { return len(p), nil }))
 				return &ingress.Response{Status: 200, Header: http.Header{}, Length: -1, Stream: endless, Deadline: r.Arrived.Add(200 * time.Millisecond)}
@@ -124,6 +139,17 @@
 		}
 	})
 
+	It("closes the stream of a response that it does not write", func() {
+		// Guards against connections to targets that stay open and count against the limit of the target, because the caller
+		// disconnected while the response waited behind an earlier one.
+		c, _ := dial()
+		send(c, "GET /slow HTTP/1.1\nHost: h\n\nGET /closer HTTP/1.1\nHost: h\n\n")
+		Eventually(server.InFlight, "1s", "1ms").Should(Equal(1)) // the second handler has returned
+		Consistently(streamClosed, "50ms").ShouldNot(BeClosed())
+		Expect(c.Close()).To(Succeed())
+		Eventually(streamClosed, "1s").Should(BeClosed())
+	})
+
 	It("stops writing a streamed response at its deadline to a caller that does not read", func() {
 		// Guards against a response that holds its goroutine and its target's connection for as long as a slow caller likes.
 		c, r := dial()
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -13,8 +13,10 @@
 )
 
 // writeResponse writes a response, with "Connection: close" if the connection closes after it.
-func (c *conn) writeResponse(x *exchange, closeConn bool) error {
+// It releases the response.
+func (c *conn) writeResponse(x *exchange, closeConn bool) (err error) {
 	r := x.response
+	defer func() { err = errors.Join(err, r.Release()) }()
 	_ = c.nc.SetWriteDeadline(writeDeadline(r))
 	var b bytes.Buffer
 	b.Grow(512)
@@ -46,21 +48,21 @@
 	b.WriteString("\r\n")
 	if x.request != nil && x.request.Method == http.MethodHead || !hasBody {
 		_, err := c.nc.Write(b.Bytes())
-		return errors.Join(err, closeStream(r))
+		return err
 	}
 	if !chunked {
 		buffers := net.Buffers{b.Bytes(), r.Body}
 		if _, err := buffers.WriteTo(c.nc); err != nil || r.Stream == nil {
-			return errors.Join(err, closeStream(r))
+			return err
 		}
 		return c.writeStream(c.nc, r)
 	}
 	w := &httpwire.ChunkWriter{W: c.nc}
 	if _, err := c.nc.Write(b.Bytes()); err != nil {
-		return errors.Join(err, closeStream(r))
+		return err
 	}
 	if _, err := w.Write(r.Body); err != nil {
-		return errors.Join(err, closeStream(r))
+		return err
 	}
 	if err := c.writeStream(w, r); err != nil {
 		return err
@@ -68,22 +70,14 @@
 	return w.Close()
 }
 
-func closeStream(r *Response) error {
-	if r.Stream == nil {
-		return nil
-	}
-	return r.Stream.Close()
-}
-
-// writeStream copies the remaining body of a response to w and closes r.Stream. It returns
-// an error if the stream is not as long as r.Length requires.
+// writeStream copies the remaining body of a response to w. It returns an error if the stream is not as long as r.Length requires.
 func (c *conn) writeStream(w io.Writer, r *Response) error {
 	remaining := r.Length - int64(len(r.Body))
 	n, err := io.Copy(&deadlineWriter{c.nc, w, r}, r.Stream)
 	if err == nil && r.Length >= 0 && n != remaining {
 		err = io.ErrUnexpectedEOF
 	}
-	return errors.Join(err, r.Stream.Close())
+	return err
 }
 
 // writeDeadline returns the time by which a write of the response that begins now has to end.
