Bound the memory of all response bodies together

Shown here by a test: each body was bounded by 1 MB, their sum was not.

The accounting of callers' bodies uses the same type, httpwire.ReservedMemory.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,6 +110,7 @@
 	}, s.Policy)
 	i.client = &upstream.Client{
 		IDHeader: p.Headers().RequestID, MaxConnections: i.maxConnections, OnDial: func() { i.metrics.targetConnections.Inc(1) },
+		OnMemoryExhausted: func() { i.metrics.unbufferedBodies.Inc(1) },
 	}
 	f := &forwarder{shared: i.shared, client: i.client, platform: p, headers: p.Headers(), log: log, metrics: i.metrics, rejecting: &i.rejecting}
 	i.ingress = &ingress.Server{
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -28,6 +28,7 @@
 	targetConnections   gometrics.Counter
 	abortedConnections  gometrics.Counter
 	cutResponses        gometrics.Counter // responses of which the caller got only a part
+	unbufferedBodies    gometrics.Counter // responses streamed because the memory for bodies is exhausted
 	logLinesLost        gometrics.Counter
 	leavingTargets      gometrics.Counter
 	pauses              gometrics.Counter
@@ -57,6 +58,7 @@
 		targetConnections:   counter("boragegate_target_connections_total"),
 		abortedConnections:  counter("boragegate_caller_connections_aborted_total"),
 		cutResponses:        counter("boragegate_responses_cut_total"),
+		unbufferedBodies:    counter("boragegate_bodies_unbuffered_total"),
 		logLinesLost:        counter("boragegate_log_lines_lost_total"),
 		leavingTargets:      counter("boragegate_targets_leaving_total"),
 		pauses:              counter("boragegate_target_pauses_total"),
--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -23,12 +23,21 @@
 	// Close closes the caller's connection after the response, unless pipelined requests
 	// are queued on it.
 	Close bool
+	// OnRelease is called by the first call of Release; it may be nil.
+	OnRelease func()
 }
 
-// Release closes Stream. It has to be called once the response is written or no longer needed,
-// and may be called again.
+// Release closes Stream and calls OnRelease. It has to be called once the response is written
+// or no longer needed, and may be called again, but not concurrently.
 func (r *Response) Release() error {
-	if r == nil || r.Stream == nil {
+	if r == nil {
+		return nil
+	}
+	if r.OnRelease != nil {
+		r.OnRelease()
+		r.OnRelease = nil
+	}
+	if r.Stream == nil {
 		return nil
 	}
 	return r.Stream.Close()
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -60,7 +60,7 @@
 func (c *conn) bufferBody(x *exchange, body io.Reader) (complete bool, err error) {
 	r, n := x.request, x.request.ContentLength
 	if n >= 0 {
-		if n <= maxBufferedBodyBytes && c.s.reserveBodyMemory(n) {
+		if n <= maxBufferedBodyBytes && c.s.bodyMemory.Reserve(n, bodyMemoryBytes) {
 			x.reservedBytes = n
 		} else {
 			n = min(n, bodyPrefixBytes)
@@ -70,7 +70,7 @@
 		return n == r.ContentLength, err
 	}
 	n = bodyPrefixBytes
-	if c.s.reserveBodyMemory(maxBufferedBodyBytes) {
+	if c.s.bodyMemory.Reserve(maxBufferedBodyBytes, bodyMemoryBytes) {
 		n, x.reservedBytes = maxBufferedBodyBytes, maxBufferedBodyBytes
 	}
 	r.Body, err = io.ReadAll(io.LimitReader(body, n))
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -195,7 +195,7 @@
 		return x, nil
 	}
 	if rejected = c.readBody(x, limits); rejected != nil || x.request.Request == nil {
-		c.s.reservedBodyBytes.Add(-x.reservedBytes)
+		c.s.bodyMemory.Free(x.reservedBytes)
 		return nil, rejected
 	}
 	return x, nil
@@ -237,7 +237,7 @@
 	go func() {
 		defer c.handlers.Done()
 		defer c.s.inFlight.Add(-1)
-		defer c.s.reservedBodyBytes.Add(-x.reservedBytes)
+		defer c.s.bodyMemory.Free(x.reservedBytes)
 		if x.bodyDone != nil {
 			defer close(x.bodyDone)
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -74,28 +74,18 @@
 	// within one, or "closed" while input was discarded before closing.
 	OnAbort func(reason string, unanswered int)
 
-	draining  atomic.Bool
-	mu        sync.Mutex
-	conns     map[*conn]struct{}
-	connGroup sync.WaitGroup
-	inFlight  atomic.Int64
-	// reservedBodyBytes is the number of bytes of bodyMemoryBytes that are reserved.
-	reservedBodyBytes atomic.Int64
+	draining   atomic.Bool
+	mu         sync.Mutex
+	conns      map[*conn]struct{}
+	connGroup  sync.WaitGroup
+	inFlight   atomic.Int64
+	bodyMemory httpwire.ReservedMemory // of bodyMemoryBytes
 }
 
 // bodyMemoryBytes bounds the memory of a Server for bodies that are buffered before
 // their requests start. When it is exhausted, bodies are streamed to the handler.
 const bodyMemoryBytes = 8 << 20
 
-// reserveBodyMemory reserves n bytes of bodyMemoryBytes. It reports whether they were available.
-func (s *Server) reserveBodyMemory(n int64) bool {
-	if s.reservedBodyBytes.Add(n) <= bodyMemoryBytes {
-		return true
-	}
-	s.reservedBodyBytes.Add(-n)
-	return false
-}
-
 // acceptRetryDelay is the delay after a failed accept, for example when the process is
 // out of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,10 +20,6 @@
 const (
 	// bufferBytes is the size of a connection's read buffer.
 	bufferBytes = 4 << 10
-	// maxBufferedBodyBytes is the size of the largest response body that is buffered
-	// completely. If such a body is truncated, the request can still be retried on another
-	// target.
-	maxBufferedBodyBytes = 1 << 20
 	// maxMismatched is the maximum number of responses to other requests that are skipped.
 	maxMismatched = 4
 	// maxMismatchedBytes bounds the body of a response to another request that is skipped.
@@ -257,27 +253,3 @@
 		}
 	}
 }
-
-// readBody reads the response body and reports whether it is complete. If the body is
-// larger than maxBufferedBodyBytes, it reads the beginning and sets Stream.
-func (cn *conn) readBody(resp *http.Response) (out *Response, complete bool, err error) {
-	out = &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	if resp.Body == http.NoBody { // also for HEAD, regardless of Content-Length
-		return out, true, nil
-	}
-	if n := resp.ContentLength; n >= 0 && n <= maxBufferedBodyBytes {
-		out.Body = make([]byte, n)
-		_, err = io.ReadFull(resp.Body, out.Body)
-		return out, err == nil, err
-	}
-	out.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBodyBytes))
-	if err != nil {
-		return nil, false, err
-	}
-	if len(out.Body) < maxBufferedBodyBytes {
-		out.Length = int64(len(out.Body))
-		return out, true, nil
-	}
-	out.Stream = resp.Body
-	return out, false, nil
-}
--- a/internal/upstream/unbounded_response_test.go
+++ b/internal/upstream/unbounded_response_test.go
@@ -17,6 +17,9 @@
 	"github.com/boragegate/boragegate/routing"
 )
 
+// maxConnections bounds the number of requests of a spec.
+const maxConnections = 100
+
 // maxSentBytes bounds what a server can send before its connection is closed: the
 // largest header plus the capacity of the socket buffers.
 const maxSentBytes = 16 << 20
@@ -34,12 +37,8 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = l.Close() })
-		sent = make(chan int, 1)
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
+		sent = make(chan int, maxConnections)
+		serve := func(c net.Conn) {
 			defer func() { _ = c.Close() }()
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 				return
@@ -53,6 +52,15 @@
 				n += more
 			}
 			sent <- n
+		}
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go serve(c)
+			}
 		}()
 		client = &upstream.Client{IDHeader: "X-Id", MaxConnections: func(string) int { return 0 }}
 		target = &routing.Target{ID: "t", Incarnation: 1, Address: l.Addr().String()}
@@ -122,6 +130,46 @@
 		Expect(resp.Stream.Close()).To(Succeed())
 		Expect(client.Connections()).To(BeZero())
 	})
+	DescribeTable("in the bodies of many responses at a time is kept only up to a bound for all of them together",
+		// Guards against a faulty server that exhausts the memory of the process, and so ends the requests of all callers: each
+		// of the responses was bounded, but not their sum.
+		func(prefix string) {
+			startUnbounded(prefix, "4\nabcd\n")
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			responses := make(chan *upstream.Response, maxConnections)
+			for range maxConnections - 1 {
+				go func() {
+					defer GinkgoRecover()
+					resp, err := client.Do(ctx, target, &upstream.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, ID: "1"})
+					Expect(err).NotTo(HaveOccurred())
+					responses <- resp
+				}()
+			}
+			var all []*upstream.Response
+			kept := 0
+			for range maxConnections - 1 {
+				var resp *upstream.Response
+				Eventually(responses, "10s").Should(Receive(&resp))
+				kept += len(resp.Body)
+				all = append(all, resp)
+			}
+			Expect(kept).To(BeNumerically("<", 40<<20))
+			for _, resp := range all {
+				Expect(resp.Release()).To(Succeed())
+				Expect(resp.Release()).To(Succeed())
+			}
+			resp, err := client.Do(ctx, target, request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body).To(HaveLen(1<<20), "the memory must be available again")
+			Expect(resp.Release()).To(Succeed())
+			Eventually(client.Connections, "2s").Should(BeZero())
+			Eventually(sent, "2s").Should(HaveLen(maxConnections))
+		},
+		Entry("that ends with its connection", "HTTP/1.1 200 OK\nX-Id: 1\n\n"),
+		Entry("with a length", "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 100000000\n\n"),
+		Entry("in chunks", "HTTP/1.1 200 OK\nX-Id: 1\nTransfer-Encoding: chunked\n\n"),
+	)
 	DescribeTable("is streamed if it belongs to the body, until the stream is closed",
 		func(prefix, repeated string) {
 			resp, sent, err := receiveUnbounded(prefix, repeated)
