Take no request in a planned stop that could be cut at its end

Cause: in the first half of the grace period a stopping instance took any request, and cut what was in flight 0.3 s before its end.

Change: from the start of a stop, a request that could last beyond its end and must not be repeated is rejected at once; other instances can run it. One that may be repeated gets the end of the stop as its deadline, so that its target ends its work and the caller gets an answer.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,6 +92,8 @@
 	gracePeriod atomic.Int64
 	// rejecting is set if all new requests are rejected.
 	rejecting atomic.Bool
+	// stopDeadline is the time at which the requests in flight are cut, nil before Stop.
+	stopDeadline atomic.Pointer[time.Time]
 }
 
 // New returns an instance that has not been started. It fails if the platform's store
@@ -112,7 +114,7 @@
 		IDHeader: p.Headers().RequestID, MaxConnections: i.maxConnections, OnDial: func() { i.metrics.targetConnections.Inc(1) },
 		OnMemoryExhausted: func() { i.metrics.unbufferedBodies.Inc(1) },
 	}
-	f := &forwarder{shared: i.shared, client: i.client, platform: p, headers: p.Headers(), log: log, metrics: i.metrics, rejecting: &i.rejecting}
+	f := &forwarder{shared: i.shared, client: i.client, platform: p, headers: p.Headers(), log: log, metrics: i.metrics, rejecting: &i.rejecting, stopDeadline: &i.stopDeadline}
 	i.ingress = &ingress.Server{
 		Handler: f.handle, Limits: i.limits, MustStartInOrder: i.mustNotPipeline,
 		OnAbort: func(reason string, unanswered int) {
@@ -304,12 +306,15 @@
 
 // Stop takes the instance out of service: it reports not ready, names a successor if it is
 // the leader, waits for requests in flight until shortly before the end of the grace period
-// or until ctx is cancelled, and closes. After rejectAfterFraction of the grace period it
-// rejects new requests. It returns the errors of closing. It must be called at most once,
+// or until ctx is cancelled, and closes. From the start it rejects requests that must not be
+// repeated and could last until then, because callers cannot repeat them after they are cut;
+// after rejectAfterFraction of the grace period it rejects all new requests. It returns the errors of closing. It must be called at most once,
 // after Start has succeeded.
 func (i *Instance) Stop(ctx context.Context) error {
 	started, grace := time.Now(), time.Duration(i.gracePeriod.Load())
 	i.log.Info().Str("event", "instance.stopping").Int("requests", i.ingress.InFlight()).Int("connections", i.ingress.Connections()).Send()
+	deadline := started.Add(grace - stopReserve)
+	i.stopDeadline.Store(&deadline)
 	close(i.stopping)
 	i.control.post(func() {
 		i.control.stopping = true
@@ -320,7 +325,6 @@
 	i.ingress.Drain()
 	rejectTimer := time.AfterFunc(time.Duration(rejectAfterFraction*float64(grace)), func() { i.rejecting.Store(true) })
 	defer rejectTimer.Stop()
-	deadline := started.Add(grace - stopReserve)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		if (time.Since(started) > readinessDelay || i.rejecting.Load()) && i.ingress.InFlight() == 0 {
 			break
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -72,6 +72,9 @@
 	requestCount atomic.Uint64
 	// rejecting is set if the instance is about to stop and rejects all requests.
 	rejecting *atomic.Bool
+	// stopDeadline is the time at which a stopping instance cuts the requests in flight, nil if
+	// it is not stopping.
+	stopDeadline *atomic.Pointer[time.Time]
 }
 
 // handle implements ingress.Handler.
@@ -106,6 +109,12 @@
 		c.key = -1
 	}
 	c.elapsedBefore = f.shared.recordArrival(&dispatch.Request{Service: c.service, Kind: route.Kind, Key: c.key, Remaining: callerRemaining})
+	if stopDeadline := f.stopDeadline.Load(); stopDeadline != nil && c.deadline.After(*stopDeadline) {
+		if !route.Kind.IsIdempotent() {
+			return f.respondUnavailable(c, r, reasonStopping, stoppingRetryAfter)
+		}
+		c.deadline = *stopDeadline // the target ends its work by then, so the request is answered and not cut
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	return c.run(ctx)
