Return the context's error from the goodput simulation

Cause: the simulation took every error of Gate.Acquire for a rejection, but Acquire also returns the error of the context, with no permit. The check of the goodput was not at fault and is unchanged.

The simulation returns that error, as a transport does. The new test ends a request while it waits at a gate: it panics without the change ("invalid memory address or nil pointer dereference") and passes with it.

--- a/internal/gateway/goodput_test.go
+++ b/internal/gateway/goodput_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -72,6 +73,9 @@
 		f.write(w, "")
 		return w.Result(), nil
 	}
+	if err != nil { // the context has ended, and there is no permit
+		return nil, err
+	}
 	defer permit.Release()
 	time.Sleep(s.service(id) / 2 * time.Duration(100+rand.IntN(100)) / 75) // uniform between 2/3 and 4/3 of the service time
 	return w.Result(), nil
@@ -190,3 +194,24 @@
 		})
 	}
 }
+
+// TestSimulationOfEndedRequest guards against a simulation that goes on without a permit when the caller's time ends while
+// the request waits at a gate.
+func TestSimulationOfEndedRequest(t *testing.T) {
+	deadline := time.Now().Add(time.Minute)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	cancel()
+	row := table.Row{Service: "svc", Target: "t0", Weight: 1, Slots: 1, Queue: 1}
+	gate := admission.NewGate(limitsOf(row), clockwork.NewRealClock())
+	permit, err := gate.Acquire(context.Background(), admission.Request{Deadline: deadline}) // a later request has to wait
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer permit.Release()
+	s := &simulation{gates: map[string]*admission.Gate{"t0": gate}}
+	request := httptest.NewRequest(http.MethodGet, "/", nil).WithContext(ctx)
+	request.Header.Set(headerTarget, "t0")
+	if _, err := s.RoundTrip(request); !errors.Is(err, context.Canceled) { //nolint:bodyclose // there is no response
+		t.Fatalf("got %v, want the error of the context", err)
+	}
+}
