--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -76,7 +76,7 @@
 // discard releases the response of an attempt that is not relayed. a may be nil.
 func (c *proxyCall) discard(a *attempt) {
 	if a != nil {
-		_ = a.response.Release()
+		_ = a.response.Release() // the connection is closed in any case
 	}
 }
 
--- a/internal/edge/outcome_test.go
+++ b/internal/edge/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"time"
 
@@ -48,7 +49,7 @@
 	newCall := func(kind routing.Kind) *proxyCall {
 		return &proxyCall{
 			f:       &forwarder{log: logging.New(logging.Options{Out: GinkgoWriter}), metrics: newInstanceMetrics(), headers: deployment.Headers{RequestID: "X-Id"}},
-			request: &ingress.Request{Request: httptest.NewRequest("POST", "/", nil), Arrived: time.Now()},
+			request: &ingress.Request{Request: httptest.NewRequest(http.MethodPost, "/", nil), Arrived: time.Now()},
 			route:   &routing.Route{Kind: kind, MaxAttempts: 4}, key: -1, results: make(chan attempt, 8),
 		}
 	}
