Word comments of the new code more exactly

A newcomer's reading found three comments over the usual width and one that claimed too little: OnMemoryExhausted is also called for a body over 1 MB of which less than its beginning is buffered. No code changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -307,9 +307,9 @@
 // Stop takes the instance out of service: it reports not ready, names a successor if it is
 // the leader, waits for requests in flight until shortly before the end of the grace period
 // or until ctx is cancelled, and closes. From the start it rejects requests that must not be
-// repeated and could last until then, because callers cannot repeat them after they are cut;
-// after rejectAfterFraction of the grace period it rejects all new requests. It returns the errors of closing. It must be called at most once,
-// after Start has succeeded.
+// repeated and could last until then, because callers cannot repeat them after they are cut.
+// After rejectAfterFraction of the grace period it rejects all new requests. It returns the
+// errors of closing. It must be called at most once, after Start has succeeded.
 func (i *Instance) Stop(ctx context.Context) error {
 	started, grace := time.Now(), time.Duration(i.gracePeriod.Load())
 	i.log.Info().Str("event", "instance.stopping").Int("requests", i.ingress.InFlight()).Int("connections", i.ingress.Connections()).Send()
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -117,7 +117,8 @@
 	l.keepMissingUntil = now + reregistrationTime
 }
 
-// keepMissingFor returns the time for which entries are kept that updates from the store lack.
+// keepMissingFor returns the time for which entries are still kept that updates from the store
+// lack.
 func (l *targetList) keepMissingFor(now time.Duration) time.Duration {
 	return max(l.keepMissingUntil-now, 0)
 }
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -70,7 +70,8 @@
 	return w.Close()
 }
 
-// writeStream copies the remaining body of a response to w. It returns an error if the stream is not as long as r.Length requires.
+// writeStream copies the remaining body of a response to w. It returns an error if the stream
+// is not as long as r.Length requires.
 func (c *conn) writeStream(w io.Writer, r *Response) error {
 	remaining := r.Length - int64(len(r.Body))
 	n, err := io.Copy(&deadlineWriter{c.nc, w, r}, r.Stream)
@@ -80,7 +81,9 @@
 	return err
 }
 
-// writeDeadline returns the time by which a write of the response that begins now has to end.
+// writeDeadline returns the time by which a write of the response that begins now has to end:
+// writeTimeout bounds it, and the deadline of a streamed response, because after that the rest
+// cannot follow.
 func writeDeadline(r *Response) time.Time {
 	deadline := time.Now().Add(writeTimeout)
 	if r.Stream != nil && !r.Deadline.IsZero() && r.Deadline.Before(deadline) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -128,8 +128,8 @@
 	MaxConnections func(service string) int
 	// OnDial is called before each connection attempt; it may be nil.
 	OnDial func()
-	// OnMemoryExhausted is called for each response that is streamed although it is small
-	// enough to be buffered, because the memory for bodies is exhausted; it may be nil.
+	// OnMemoryExhausted is called for each response of which less is buffered than its size
+	// allows, because the memory for bodies is exhausted; it may be nil.
 	OnMemoryExhausted func()
 
 	bodyMemory httpwire.ReservedMemory // of bodyMemoryBytes
