--- a/internal/upstream/unbounded_response_test.go
+++ b/internal/upstream/unbounded_response_test.go
@@ -37,7 +37,8 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = l.Close() })
-		sent = make(chan int, maxConnections)
+		sentBytes := make(chan int, maxConnections) // of its own, since servers of an earlier spec may still end
+		sent = sentBytes
 		serve := func(c net.Conn) {
 			defer func() { _ = c.Close() }()
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
@@ -51,7 +52,7 @@
 				more, err = io.WriteString(c, block)
 				n += more
 			}
-			sent <- n
+			sentBytes <- n
 		}
 		go func() {
 			for {
