--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -81,11 +81,9 @@
 	elector        *election.Elector
 	pendingQueries []*pendingQuery
 	lastSweepAt    time.Duration
-	// lastTickAt is the time of the last tick, and eventsSinceTick the number of events
-	// since then.
-	lastTickAt      time.Duration
-	eventsSinceTick int
-	lastActiveAt    time.Duration // last event or tick
+	lastTickAt     time.Duration
+	activity       loopActivity
+	lastActiveAt   time.Duration // last event or tick
 
 	configVersion store.Version // of configObject
 	configObject  store.Object  // active configuration, as stored
@@ -165,7 +163,9 @@
 		case <-c.shared.rateLimitSignal:
 			c.handle(func() { c.exchangeRateLimits(socket.BootTime()) })
 		case <-ticker.C:
-			c.tick(socket.BootTime())
+			now := socket.BootTime()
+			c.tick(now)
+			c.activity.longest = max(c.activity.longest, socket.BootTime()-now)
 		case <-c.t.Dying():
 			c.stopAll()
 			return nil
@@ -182,8 +182,9 @@
 	if c.leadership != nil {
 		c.leadership.checkSuspended(now)
 	}
-	c.eventsSinceTick++
 	f()
+	c.activity.events++
+	c.activity.longest = max(c.activity.longest, socket.BootTime()-now)
 }
 
 func (c *controlLoop) stopAll() {
@@ -236,11 +237,12 @@
 		lag := max(now-c.lastTickAt-tickInterval, 0)
 		c.metrics.controlLag.Update(lag)
 		if lag > lagLogThreshold {
-			c.log.Warn().Str("event", "control.late").Dur("late_ms", lag).Int("events", c.eventsSinceTick).Int("waiting", len(c.events)).
+			c.activity.addTo(c.log.Warn().Str("event", "control.late").Dur("late_ms", lag)).Int("waiting", len(c.events)).
 				Bool("leads", c.leadership != nil).Send()
 		}
 	}
-	c.lastTickAt, c.eventsSinceTick = now, 0
+	c.lastTickAt = now
+	c.activity.reset()
 }
 
 // ready reports whether requests can be served: a configuration is known, and the holders
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -149,6 +149,7 @@
 	if len(l.joining) == 0 || now-l.lastInitialStateAt < time.Duration(len(l.followers))*publishIntervalPerFollower {
 		return
 	}
+	startedAt := socket.BootTime()
 	l.lastInitialStateAt = now
 	l.publishNow(now) // otherwise pending changes would be sent twice
 	update := stateUpdate{Leader: &l.c.self, Candidates: l.publishedCandidates, Owners: map[string]*ownersUpdate{}, OfferedLoad: &offeredLoadUpdate{l.offeredLoads}, Leaving: l.c.leaving.list(), RateLimits: l.c.shared.rateLimitNotices(now)}
@@ -176,6 +177,8 @@
 	l.send(update, haveConfig...)
 	update.Config = l.encodedConfig
 	l.send(update, needConfig...)
+	l.c.activity.initialStates++
+	l.c.activity.initialStateTime += socket.BootTime() - startedAt
 }
 
 func (l *leadership) broadcast(update stateUpdate) {
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -242,7 +242,9 @@
 		c.t.Go(func() error {
 			ctx, cancel := context.WithTimeout(l.ctx, rangelease.DefaultOptions.CallTimeout)
 			defer cancel()
+			c.activity.openLeaseRequests.Add(1)
 			response := c.platform.LeaseClient().Grant(ctx, a)
+			c.activity.openLeaseRequests.Add(-1)
 			c.post(func() { l.handleLeaseResult(a.Target.Lifetime(), "grant", a.Call, a.Span, a.FencingToken, response) })
 			return nil
 		})
@@ -251,7 +253,9 @@
 		c.t.Go(func() error {
 			ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
 			defer cancel()
+			c.activity.openLeaseRequests.Add(1)
 			response := c.platform.LeaseClient().Release(ctx, a)
+			c.activity.openLeaseRequests.Add(-1)
 			c.post(func() { l.handleLeaseResult(a.Target.Lifetime(), "release", a.Call, a.Span, a.FencingToken, response) })
 			return nil
 		})
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -45,6 +45,16 @@
 		ownershipRecordKind: c.recordVersion, c.configKind(): c.configVersion, c.platform.TargetKind(): c.targets.version,
 	}[kind]
 	c.t.Go(func() error { c.watch(ctx, kind, from); return nil })
+	if kind == c.configKind() {
+		c.logConfigSource("store")
+	}
+}
+
+// logConfigSource logs that this instance begins to get the configuration from the store or from
+// the leader.
+func (c *controlLoop) logConfigSource(source string) {
+	c.log.Info().Str("event", "config.source").Str("source", source).Str("leader", c.leaderID()).Uint64("term", c.term).
+		Uint64("store_version", uint64(c.configVersion)).Send()
 }
 
 // watchConfigAndTargets watches the objects that operators and targets write.
@@ -57,6 +67,9 @@
 	if cancel := c.watches[kind]; cancel != nil {
 		cancel()
 		delete(c.watches, kind)
+		if kind == c.configKind() {
+			c.logConfigSource("leader")
+		}
 	}
 }
 
