Add failing specs for a control loop that stands still

Callers of an instance whose control loop stands still are served by a configuration that was replaced seconds before, and a new leader opens a lease request to each of 820 holders at once, which is what starves its loop.

--- /dev/null
+++ b/internal/edge/takeover_test.go
@@ -0,0 +1,103 @@
+package edge
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/boragegate/boragegate/internal/deployment"
+	"github.com/boragegate/boragegate/internal/socket"
+	"github.com/boragegate/boragegate/ownership/rangelease"
+	"github.com/boragegate/boragegate/routing"
+	"github.com/boragegate/boragegate/store"
+)
+
+// testPlatform has a lease client, and the kinds of objects of the platform's store.
+type testPlatform struct {
+	deployment.Platform
+	leaseClient deployment.LeaseClient
+}
+
+func (p testPlatform) LeaseClient() deployment.LeaseClient { return p.leaseClient }
+func (testPlatform) ConfigObject() (kind, name string)     { return "config", "main" }
+func (testPlatform) TargetKind() string                    { return "servers" }
+
+// busyLeaseClient needs about a millisecond of processor time for each grant. It counts the
+// grants and the most of them that were open at the same time.
+type busyLeaseClient struct{ open, mostOpen, granted atomic.Int64 }
+
+func (c *busyLeaseClient) Grant(context.Context, *rangelease.Grant) deployment.LeaseResponse {
+	open := c.open.Add(1)
+	defer c.open.Add(-1)
+	for most := c.mostOpen.Load(); open > most && !c.mostOpen.CompareAndSwap(most, open); most = c.mostOpen.Load() {
+	}
+	var block [192 << 10]byte
+	for range 8 {
+		_ = sha256.Sum256(block[:])
+		runtime.Gosched() // as at a system call
+	}
+	c.granted.Add(1)
+	return deployment.LeaseResponse{Outcome: rangelease.Done}
+}
+
+func (c *busyLeaseClient) Release(context.Context, *rangelease.Release) deployment.LeaseResponse {
+	return deployment.LeaseResponse{Outcome: rangelease.Done}
+}
+
+// idleStore is a store in which nothing changes. It answers polls when their wait is over.
+type idleStore struct{ silentStore }
+
+func (idleStore) Poll(ctx context.Context, _ string, from store.Version, wait time.Duration) ([]store.Event, store.Version, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return nil, from, nil
+}
+
+// newTakeoverLoop returns a control loop, which is not running, and a record in which the
+// given number of targets, known to the loop, each hold a part of the keys of a service.
+func newTakeoverLoop(holders int, client deployment.LeaseClient) (*controlLoop, *rangelease.Record) {
+	const service = "s"
+	c := newTestLoop()
+	c.platform, c.store = testPlatform{leaseClient: client}, idleStore{}
+	c.events, c.urgent = make(chan func(), 256), make(chan func(), 64)
+	c.shared.config.Store(&routing.Config{Services: map[string]routing.Service{service: {Name: service, Partitioned: true}}})
+	c.configVersion, c.configObject = 1, store.Object{Kind: "config", Name: "main", Version: 1}
+	record := &rangelease.Record{Term: 2, Leader: c.self, Services: map[string][]rangelease.Entry{}}
+	update := &targetUpdate{Version: 1, Full: true, Put: map[string]routing.Target{}}
+	for i := range holders {
+		t := routing.Target{ID: fmt.Sprintf("t%04d", i), Incarnation: 1, Service: service, Address: fmt.Sprintf("a%d", i), Slots: 6}
+		update.Put[t.ID] = t
+		span := routing.Span{From: i * routing.KeyCount / holders, To: (i+1)*routing.KeyCount/holders - 1}
+		record.Services[service] = append(record.Services[service], rangelease.Entry{Span: span, Holder: t.Lifetime()})
+	}
+	c.activateTargetChange(socket.BootTime(), c.targets.apply(socket.BootTime(), update))
+	return c, record
+}
+
+var _ = Describe("an instance that takes over the leadership", func() {
+	It("keeps its control loop responsive while it renews the leases of hundreds of targets", func() {
+		// Guards against a new leader whose control loop stands for seconds, because hundreds of lease requests compete with
+		// it for one processor: it activated no change of the configuration meanwhile, and its followers took it for silent.
+		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+		client := &busyLeaseClient{}
+		c, record := newTakeoverLoop(820, client)
+		c.t.Go(func() error {
+			c.startLeading(socket.BootTime(), record, 1)
+			return c.run()
+		})
+		Eventually(client.granted.Load).WithTimeout(30 * time.Second).Should(BeNumerically(">=", 820))
+		time.Sleep(2 * tickInterval) // for the tick that was late
+		c.t.Kill(nil)
+		Expect(c.t.Wait()).To(Succeed())
+		Expect(client.mostOpen.Load()).To(BeNumerically("<=", 64))
+		Expect(time.Duration(c.metrics.controlLag.Max())).To(BeNumerically("<", heartbeatInterval))
+	})
+})
