Send joining followers a heartbeat at once, and the initial state in groups

The leader encoded 200 KB for each of the first joiners alone, because the pause between two encodings grows with the followers that have joined already.

A joiner now gets a heartbeat at once. The state goes to 64 joiners at a time, at most each 50 ms or four times the duration of the last encoding, so that the cost of a takeover does not depend on how the joins are spread. A follower uses permits only from a leader that has sent its state. With the old pause the new spec fails: followers have two frames queued where one is expected.

--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -30,9 +31,18 @@
 	// lostFollowerRetention is the time for which lost followers are notified: an instance
 	// either restarts within seconds or doesn't return.
 	lostFollowerRetention = 15 * time.Second
-	// candidateRetention is the time for which a new leader keeps the candidates of its
+	// predecessorRetention is the time for which a new leader keeps the candidates of its
 	// predecessor.
-	candidateRetention = 10 * time.Second
+	predecessorRetention = 10 * time.Second
+	// maxJoinersPerState is the number of followers that are sent the initial state at a time.
+	// The rest of several hundred that join a new leader wait, so that heartbeats do not queue
+	// behind megabytes on the leader's network link.
+	maxJoinersPerState = 64
+	// initialStateInterval is the shortest time between two encodings of the initial state, and
+	// initialStateTimeFactor times the duration of the last one another. Followers that join
+	// meanwhile are sent the next one.
+	initialStateInterval   = tickInterval
+	initialStateTimeFactor = 4
 )
 
 // follower is the leader's end of the connection to a follower.
@@ -126,12 +136,11 @@
 	}
 }
 
-// addFollower registers a follower, which is sent the complete state by sendInitialState.
-// If this instance is not the leader, it tells the follower which instance is.
+// addFollower registers a follower, which is sent a heartbeat at once and the complete state by
+// sendInitialState. If this instance is not the leader, it tells the follower which instance is.
 func (c *controlLoop) addFollower(f *follower) {
 	if c.leadership != nil {
-		c.leadership.joining[f] = struct{}{}
-		c.leadership.sendInitialState(socket.BootTime())
+		c.leadership.addFollower(socket.BootTime(), f)
 		return
 	}
 	frame, err := c.encodeLeaderReply(c.leaderInfoFor(0))
@@ -142,11 +151,18 @@
 	f.out <- frame
 }
 
+// addFollower registers a follower.
+func (l *leadership) addFollower(now time.Duration, f *follower) {
+	l.joining[f] = struct{}{}
+	l.send(stateUpdate{}, f)
+	l.sendInitialState(now)
+}
+
 // sendInitialState sends the complete state to new followers. Followers that join at about
 // the same time get the same frames: encoding a copy for each of hundreds of followers would
 // exhaust the leader's memory and take seconds.
 func (l *leadership) sendInitialState(now time.Duration) {
-	if len(l.joining) == 0 || now-l.lastInitialStateAt < time.Duration(len(l.followers))*publishIntervalPerFollower {
+	if len(l.joining) == 0 || now-l.lastInitialStateAt < max(initialStateInterval, initialStateTimeFactor*l.initialStateTime) {
 		return
 	}
 	startedAt := socket.BootTime()
@@ -160,14 +176,12 @@
 		update.Owners[service] = encodeOwners(owners, true)
 	}
 	var needConfig, haveConfig []*follower
-	for f := range l.joining {
+	for _, f := range l.nextJoiners() {
 		if l.encodedConfig == nil || f.configVersion == l.encodedConfig.Version {
 			haveConfig = append(haveConfig, f)
 		} else {
 			needConfig = append(needConfig, f)
 		}
-	}
-	for f := range l.joining {
 		l.followers[f] = struct{}{}
 		delete(l.joining, f)
 		delete(l.lostFollowers, f.ID)
@@ -177,8 +191,17 @@
 	l.send(update, haveConfig...)
 	update.Config = l.encodedConfig
 	l.send(update, needConfig...)
+	l.initialStateTime = socket.BootTime() - startedAt
 	l.c.activity.initialStates++
-	l.c.activity.initialStateTime += socket.BootTime() - startedAt
+	l.c.activity.initialStateTime += l.initialStateTime
+}
+
+// nextJoiners returns the followers that are sent the state next: at most maxJoinersPerState, in
+// the order in which they joined.
+func (l *leadership) nextJoiners() []*follower {
+	joiners := l.joiningFollowers()
+	slices.SortFunc(joiners, func(a, b *follower) int { return cmp.Compare(a.joinedAt, b.joinedAt) })
+	return joiners[:min(len(joiners), maxJoinersPerState)]
 }
 
 func (l *leadership) broadcast(update stateUpdate) {
@@ -205,7 +228,7 @@
 
 // updateCandidates ranks the connected followers and returns the new candidates, or nil if
 // there are none besides this instance or they are those last published. A new leader keeps
-// the candidates of its predecessor for candidateRetention, until its followers have
+// the candidates of its predecessor for predecessorRetention, until its followers have
 // connected.
 func (l *leadership) updateCandidates(now time.Duration) []rangelease.InstanceInfo {
 	var candidates []rangelease.InstanceInfo
@@ -214,7 +237,7 @@
 		candidates = append(candidates, f.InstanceInfo)
 		ids[f.ID] = true
 	}
-	if now-l.startedAt < candidateRetention {
+	if now-l.startedAt < predecessorRetention {
 		for _, c := range l.c.elector.Candidates() {
 			if !ids[c.ID] {
 				candidates = append(candidates, c)
@@ -244,9 +267,9 @@
 	if len(recipients) == 0 {
 		return
 	}
+	now := socket.BootTime()
 	update.Term, update.Instances, update.GrantsPermits = l.grantor.Term(), len(l.followers)+1, true
 	update.StoreUnreachable = l.c.storeFailedSince > 0
-	now := socket.BootTime()
 	update.KeepMissing = l.c.targets.keepMissingFor(now)
 	update.OutstandingLeases = l.grantor.OutstandingLeases(now, outstandingLeasesHorizon)
 	update.StoreAge = max(l.grantor.TermConfirmationAge(now), 0)
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -43,6 +43,9 @@
 	leader rangelease.InstanceInfo
 	cancel context.CancelFunc
 	out    chan []byte // load reports to send, as frames
+	// stateReceived is set when the leader has sent the complete state on the current connection.
+	// Until then its updates only show that it leads. It is confined to the control loop.
+	stateReceived bool
 }
 
 // connectToLeader connects to the leader that the ownership record names, and closes the
@@ -167,6 +170,7 @@
 		return
 	}
 	c.shared.forgetRateLimitReports(socket.BootTime())
+	l.stateReceived = false
 	// A connection that is reset before the leader has sent a state update counts as
 	// refused: the instance there may have stopped listening without accepting it.
 	c.leaderRefused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errNotLeader) || errors.Is(err, syscall.ECONNRESET) && c.lastUpdateAt == 0
@@ -201,9 +205,10 @@
 		c.shared.setOfferedLoads(now, update.OfferedLoad.Targets)
 	}
 	if update.Leader != nil { // the leader handles what is sent from now on
+		l.stateReceived = true
 		c.shared.forgetRateLimitReports(now)
 	}
-	if update.GrantsPermits {
+	if update.GrantsPermits && l.stateReceived {
 		c.shared.setPermitLeader(now)
 	}
 	if update.Config != nil {
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -96,6 +96,7 @@
 	// joining are connected followers that haven't been sent the state yet.
 	joining            map[*follower]struct{}
 	lastInitialStateAt time.Duration
+	initialStateTime   time.Duration // duration of the last encoding of the initial state
 	// pendingTargets and pendingOfferedLoad are sent with the next state update.
 	pendingTargets      *targetUpdate
 	pendingOfferedLoad  *offeredLoadUpdate
@@ -229,7 +230,7 @@
 	l.sendInitialState(now)
 	if now-l.lastHeartbeatAt >= heartbeatInterval {
 		l.lastHeartbeatAt = now
-		l.broadcast(stateUpdate{Candidates: l.updateCandidates(now)})
+		l.send(stateUpdate{Candidates: l.updateCandidates(now)}, append(l.followerList(), l.joiningFollowers()...)...)
 		l.c.setInstanceCount(len(l.followers) + 1)
 		l.grantor.SetCandidates(now, l.publishedCandidates, len(l.followers)+1)
 		l.yieldToStronger(now)
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -100,4 +101,56 @@
 		Expect(client.mostOpen.Load()).To(BeNumerically("<=", 64))
 		Expect(time.Duration(c.metrics.controlLag.Max())).To(BeNumerically("<", heartbeatInterval))
 	})
+
+	Context("that others join", func() {
+		var c *controlLoop
+		// join lets an instance connect, as servePeer does.
+		join := func(id string) *follower {
+			f := &follower{InstanceInfo: rangelease.InstanceInfo{ID: id, Address: id}, joinedAt: socket.BootTime(), out: make(chan []byte, followerQueueLength), stop: func() {}}
+			c.addFollower(f)
+			return f
+		}
+		// nextFrame returns the type and the state update of the next frame that was queued for a follower.
+		nextFrame := func(f *follower) (kind byte, update stateUpdate) {
+			frame := <-f.out
+			kind, err := readFrame(bytes.NewReader(frame), map[byte]any{kindStateUpdate: &update, kindCompressedStateUpdate: &compressedUpdate{&update}})
+			Expect(err).NotTo(HaveOccurred())
+			return kind, update
+		}
+		BeforeEach(func() {
+			var record *rangelease.Record
+			c, record = newTakeoverLoop(8, &busyLeaseClient{})
+			c.startLeading(socket.BootTime(), record, 1)
+			DeferCleanup(func() {
+				c.stopAll()
+				c.t.Kill(nil)
+				Expect(c.t.Wait()).To(Succeed())
+			})
+		})
+
+		It("sends each a heartbeat at once, and encodes the state a few times for hundreds", func() {
+			// Guards against a leader that encodes 200 KB for each of hundreds of followers, one by one, while those that wait
+			// hear nothing, take it for silent and connect again.
+			var followers []*follower
+			for i := range 294 {
+				followers = append(followers, join(fmt.Sprintf("i%d", i)))
+			}
+			for _, f := range followers[1:] { // the first has been sent the state too
+				Expect(f.out).To(HaveLen(1))
+			}
+			now := socket.BootTime()
+			for range 6 {
+				now += time.Second
+				c.leadership.sendInitialState(now)
+			}
+			Expect(c.leadership.joining).To(BeEmpty())
+			Expect(c.activity.initialStates).To(BeNumerically("<=", 6))
+			for _, f := range followers {
+				_, heartbeat := nextFrame(f)
+				Expect(heartbeat.Leader).To(BeNil())
+				_, state := nextFrame(f)
+				Expect(state.Leader).NotTo(BeNil())
+			}
+		})
+	})
 })
