Count one connection of each follower, and drop those that have ended

The leader now keeps one link for each instance. A new one closes the earlier one, and a link that has ended before its turn is not registered or sent the state. Without the change the new spec fails: two followers instead of one.

--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/boragegate/boragegate/internal/socket"
@@ -54,6 +55,8 @@
 	conn          net.Conn
 	out           chan []byte // frames to send; a nil frame closes the connection
 	stop          context.CancelFunc
+	// closed is set when the connection has ended. The control loop may learn it later.
+	closed atomic.Bool
 }
 
 // lostFollower is a former follower whose connection has ended.
@@ -121,6 +124,7 @@
 			c.leadership.removeFollower(socket.BootTime(), f)
 		}
 	})
+	defer f.closed.Store(true)
 	c.t.Go(func() error { writeFrames(ctx, conn, f.out); return nil })
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(loadReportTimeout))
@@ -151,13 +155,27 @@
 	f.out <- frame
 }
 
-// addFollower registers a follower.
+// addFollower registers a follower. An earlier connection of the same instance is closed: the
+// instance has given it up.
 func (l *leadership) addFollower(now time.Duration, f *follower) {
+	if f.closed.Load() {
+		return
+	}
+	if earlier := l.links[f.ID]; earlier != nil {
+		l.removeFollower(now, earlier)
+		earlier.close()
+	}
+	l.links[f.ID] = f
 	l.joining[f] = struct{}{}
 	l.send(stateUpdate{}, f)
 	l.sendInitialState(now)
 }
 
+// instanceCount returns the number of instances that are connected, including this one.
+func (l *leadership) instanceCount() int {
+	return len(l.links) + 1
+}
+
 // sendInitialState sends the complete state to new followers. Followers that join at about
 // the same time get the same frames: encoding a copy for each of hundreds of followers would
 // exhaust the leader's memory and take seconds.
@@ -196,10 +214,10 @@
 	l.c.activity.initialStateTime += l.initialStateTime
 }
 
-// nextJoiners returns the followers that are sent the state next: at most maxJoinersPerState, in
-// the order in which they joined.
+// nextJoiners returns the followers that are sent the state next: at most maxJoinersPerState of
+// those that are still connected, in the order in which they joined.
 func (l *leadership) nextJoiners() []*follower {
-	joiners := l.joiningFollowers()
+	joiners := slices.DeleteFunc(l.joiningFollowers(), func(f *follower) bool { return f.closed.Load() })
 	slices.SortFunc(joiners, func(a, b *follower) int { return cmp.Compare(a.joinedAt, b.joinedAt) })
 	return joiners[:min(len(joiners), maxJoinersPerState)]
 }
@@ -268,7 +286,7 @@
 		return
 	}
 	now := socket.BootTime()
-	update.Term, update.Instances, update.GrantsPermits = l.grantor.Term(), len(l.followers)+1, true
+	update.Term, update.Instances, update.GrantsPermits = l.grantor.Term(), l.instanceCount(), true
 	update.StoreUnreachable = l.c.storeFailedSince > 0
 	update.KeepMissing = l.c.targets.keepMissingFor(now)
 	update.OutstandingLeases = l.grantor.OutstandingLeases(now, outstandingLeasesHorizon)
@@ -297,6 +315,9 @@
 	}
 	delete(l.followers, f)
 	delete(l.joining, f)
+	if l.links[f.ID] == f {
+		delete(l.links, f.ID)
+	}
 	l.permits.RemoveInstance(f)
 	if f.Address != "" {
 		l.lostFollowers[f.ID] = lostFollower{address: f.Address, notifyUntil: now + lostFollowerRetention}
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -94,7 +94,9 @@
 	encodedConfig *configUpdate // active configuration as sent to followers, nil if there is none
 	followers     map[*follower]struct{}
 	// joining are connected followers that haven't been sent the state yet.
-	joining            map[*follower]struct{}
+	joining map[*follower]struct{}
+	// links are the followers in both sets by instance; each instance has one link.
+	links              map[string]*follower
 	lastInitialStateAt time.Duration
 	initialStateTime   time.Duration // duration of the last encoding of the initial state
 	// pendingTargets and pendingOfferedLoad are sent with the next state update.
@@ -116,7 +118,7 @@
 		grantor: rangelease.New(grantOptions(c), sentAt, socket.BootTime(), r, predecessor),
 		rates:   map[string]*keyrange.KeyRates{}, serviceTimes: map[string]*keyrange.ServiceTimes{},
 		warmUpUntil: map[routing.Lifetime]time.Duration{}, followers: map[*follower]struct{}{}, joining: map[*follower]struct{}{},
-		lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(), permits: ratelimit.NewAllocator[*follower](),
+		links: map[string]*follower{}, lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(), permits: ratelimit.NewAllocator[*follower](),
 	}
 	l.permitTimer = time.AfterFunc(tickInterval, c.shared.signalRateLimits)
 	for _, n := range c.shared.rateLimitNotices(l.startedAt) {
@@ -231,8 +233,8 @@
 	if now-l.lastHeartbeatAt >= heartbeatInterval {
 		l.lastHeartbeatAt = now
 		l.send(stateUpdate{Candidates: l.updateCandidates(now)}, append(l.followerList(), l.joiningFollowers()...)...)
-		l.c.setInstanceCount(len(l.followers) + 1)
-		l.grantor.SetCandidates(now, l.publishedCandidates, len(l.followers)+1)
+		l.c.setInstanceCount(l.instanceCount())
+		l.grantor.SetCandidates(now, l.publishedCandidates, l.instanceCount())
 		l.yieldToStronger(now)
 		l.notifyLostFollowers(now)
 	}
@@ -337,7 +339,7 @@
 // the pending changes of targets and offered loads. Changes that follow each other closely
 // are sent together.
 func (l *leadership) publish(now lease.Instant) {
-	if now-l.lastPublishAt >= time.Duration(len(l.followers))*publishIntervalPerFollower {
+	if now-l.lastPublishAt >= time.Duration(l.instanceCount())*publishIntervalPerFollower {
 		l.publishNow(now)
 	}
 }
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -152,5 +152,30 @@
 				Expect(state.Leader).NotTo(BeNil())
 			}
 		})
+
+		It("counts an instance once that connects again, and closes its earlier connection", func() {
+			// Guards against links that their followers have given up: a leader of 295 instances counted 584 followers, sent
+			// each update to all of them, and told the others that 585 instances share the limits of targets.
+			first := join("i1")
+			second := join("i1")
+			c.leadership.sendInitialState(socket.BootTime() + time.Second)
+			Expect(c.leadership.followers).To(HaveLen(1))
+			Expect(c.leadership.followers).To(HaveKey(second))
+			for len(first.out) > 1 {
+				<-first.out
+			}
+			Expect(<-first.out).To(BeNil(), "the mark that closes the connection")
+			c.leadership.removeFollower(socket.BootTime(), first) // its end is noticed later
+			Expect(c.leadership.links).To(HaveKeyWithValue("i1", second))
+		})
+
+		It("sends no state to a connection that has ended", func() {
+			// Guards against the cost of initial states for followers that have given up before their turn.
+			join("i1") // is sent the state at once
+			ended := join("i2")
+			ended.closed.Store(true)
+			c.leadership.sendInitialState(socket.BootTime() + time.Second)
+			Expect(c.leadership.followers).NotTo(HaveKey(ended))
+		})
 	})
 })
