Keep the predecessor's number of instances right after a takeover

A new leader told its first followers how many had joined so far, a handful of 295, and they divided the limits that all instances share by that number: retries and connections of targets. The record has the number; a new leader keeps it for 10 s if it is higher, as it does with the candidates. State updates after a takeover are spaced by it too, where the first hundreds of lease results each made a pass over all owners. Without the change the new spec fails: 2 instances instead of 295.

--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -32,8 +32,8 @@
 	// lostFollowerRetention is the time for which lost followers are notified: an instance
 	// either restarts within seconds or doesn't return.
 	lostFollowerRetention = 15 * time.Second
-	// predecessorRetention is the time for which a new leader keeps the candidates of its
-	// predecessor.
+	// predecessorRetention is the time for which a new leader keeps the candidates and the
+	// number of instances of its predecessor, because its followers have not all connected.
 	predecessorRetention = 10 * time.Second
 	// maxJoinersPerState is the number of followers that are sent the initial state at a time.
 	// The rest of several hundred that join a new leader wait, so that heartbeats do not queue
@@ -171,9 +171,14 @@
 	l.sendInitialState(now)
 }
 
-// instanceCount returns the number of instances that are connected, including this one.
-func (l *leadership) instanceCount() int {
-	return len(l.links) + 1
+// instanceCount returns the number of instances that share the limits of targets: those that are
+// connected or, right after a takeover, those that the predecessor knew if they are more.
+func (l *leadership) instanceCount(now time.Duration) int {
+	connected := len(l.links) + 1
+	if now-l.startedAt < predecessorRetention {
+		return max(connected, l.predecessorInstances)
+	}
+	return connected
 }
 
 // sendInitialState sends the complete state to new followers. Followers that join at about
@@ -286,7 +291,7 @@
 		return
 	}
 	now := socket.BootTime()
-	update.Term, update.Instances, update.GrantsPermits = l.grantor.Term(), l.instanceCount(), true
+	update.Term, update.Instances, update.GrantsPermits = l.grantor.Term(), l.instanceCount(now), true
 	update.StoreUnreachable = l.c.storeFailedSince > 0
 	update.KeepMissing = l.c.targets.keepMissingFor(now)
 	update.OutstandingLeases = l.grantor.OutstandingLeases(now, outstandingLeasesHorizon)
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -99,6 +99,8 @@
 	links              map[string]*follower
 	lastInitialStateAt time.Duration
 	initialStateTime   time.Duration // duration of the last encoding of the initial state
+	// predecessorInstances is the number of instances in the record at the takeover.
+	predecessorInstances int
 	// pendingTargets and pendingOfferedLoad are sent with the next state update.
 	pendingTargets      *targetUpdate
 	pendingOfferedLoad  *offeredLoadUpdate
@@ -118,7 +120,7 @@
 		grantor: rangelease.New(grantOptions(c), sentAt, socket.BootTime(), r, predecessor),
 		rates:   map[string]*keyrange.KeyRates{}, serviceTimes: map[string]*keyrange.ServiceTimes{},
 		warmUpUntil: map[routing.Lifetime]time.Duration{}, followers: map[*follower]struct{}{}, joining: map[*follower]struct{}{},
-		links: map[string]*follower{}, lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(), permits: ratelimit.NewAllocator[*follower](),
+		links: map[string]*follower{}, predecessorInstances: r.InstanceCount, lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(), permits: ratelimit.NewAllocator[*follower](),
 	}
 	l.permitTimer = time.AfterFunc(tickInterval, c.shared.signalRateLimits)
 	for _, n := range c.shared.rateLimitNotices(l.startedAt) {
@@ -233,8 +235,8 @@
 	if now-l.lastHeartbeatAt >= heartbeatInterval {
 		l.lastHeartbeatAt = now
 		l.send(stateUpdate{Candidates: l.updateCandidates(now)}, append(l.followerList(), l.joiningFollowers()...)...)
-		l.c.setInstanceCount(l.instanceCount())
-		l.grantor.SetCandidates(now, l.publishedCandidates, l.instanceCount())
+		l.c.setInstanceCount(l.instanceCount(now))
+		l.grantor.SetCandidates(now, l.publishedCandidates, l.instanceCount(now))
 		l.yieldToStronger(now)
 		l.notifyLostFollowers(now)
 	}
@@ -339,7 +341,7 @@
 // the pending changes of targets and offered loads. Changes that follow each other closely
 // are sent together.
 func (l *leadership) publish(now lease.Instant) {
-	if now-l.lastPublishAt >= time.Duration(l.instanceCount())*publishIntervalPerFollower {
+	if now-l.lastPublishAt >= time.Duration(l.instanceCount(now))*publishIntervalPerFollower {
 		l.publishNow(now)
 	}
 }
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -120,6 +120,7 @@
 		BeforeEach(func() {
 			var record *rangelease.Record
 			c, record = newTakeoverLoop(8, &busyLeaseClient{})
+			record.InstanceCount = 295
 			c.startLeading(socket.BootTime(), record, 1)
 			DeferCleanup(func() {
 				c.stopAll()
@@ -177,5 +178,13 @@
 			c.leadership.sendInitialState(socket.BootTime() + time.Second)
 			Expect(c.leadership.followers).NotTo(HaveKey(ended))
 		})
+
+		It("tells them the predecessor's number of instances until its followers had time to connect", func() {
+			// Guards against limits that all instances share and that the first followers of a new leader divide by a handful.
+			f := join("i1")
+			_, heartbeat := nextFrame(f)
+			Expect(heartbeat.Instances).To(Equal(295))
+			Expect(c.leadership.instanceCount(c.leadership.startedAt + predecessorRetention)).To(Equal(2))
+		})
 	})
 })
