Let an instance watch the configuration until its leader confirms it

State updates now say how long ago the leader last knew its configuration to be the newest; that counts once it has sent its state. An instance watches the store itself whenever that is longer ago than WatchDelay, also with a healthy leader. A new leader confirms its configuration with one short poll instead of at the end of a long one, and so does a leader after each change. Without the change the new specs fail: no watch of "config" is left after a heartbeat.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -87,9 +87,12 @@
 
 	configVersion store.Version // of configObject
 	configObject  store.Object  // active configuration, as stored
-	targets       *targetList
-	leaving       *leavingTargets
-	owners        map[string][]routing.Owner
+	// configConfirmedAt is the latest time as of which the active configuration is known to have
+	// been the newest, and leaderConfigConfirmedAt the same through the leader.
+	configConfirmedAt, leaderConfigConfirmedAt time.Duration
+	targets                                    *targetList
+	leaving                                    *leavingTargets
+	owners                                     map[string][]routing.Owner
 
 	record        *rangelease.Record
 	recordVersion store.Version
@@ -228,7 +231,7 @@
 	if c.leadership != nil || c.watches[c.configKind()] != nil {
 		return c.storeFailedSince == 0
 	}
-	return !c.elector.SuspectsLeader() && c.lastUpdateAt > 0
+	return !c.elector.SuspectsLeader() && c.lastUpdateAt > 0 && c.link != nil && c.link.stateReceived
 }
 
 // measureLag measures how late the control loop runs.
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -15,7 +15,7 @@
 // electionView returns the state that the elector bases its decisions on.
 func (c *controlLoop) electionView(now time.Duration) election.View {
 	v := election.View{
-		LeaderHeardAt: c.lastUpdateAt, LeaderStoreAnswerAt: c.leaderStoreAnswerAt, LeaderRefused: c.leaderRefused, LeaderEnded: c.leaderEnded, LeaderStoreUnreachable: c.leaderStoreUnreachable,
+		LeaderHeardAt: c.lastUpdateAt, ConfigConfirmedAt: c.leaderConfigConfirmedAt, LeaderStoreAnswerAt: c.leaderStoreAnswerAt, LeaderRefused: c.leaderRefused, LeaderEnded: c.leaderEnded, LeaderStoreUnreachable: c.leaderStoreUnreachable,
 		RecordKnown: c.recordWasRead, StoreReachable: c.reachesStore(now),
 	}
 	if c.link == nil {
@@ -44,6 +44,11 @@
 		if wasSuspected {
 			c.log.Info().Str("event", "leader.heard").Str("leader", c.leaderID()).Uint64("term", c.term).Send()
 		}
+		c.stopWatch(ownershipRecordKind)
+		if d.WatchConfig { // this leader has not sent its state, or has itself no recent answer about the configuration
+			c.watchConfigAndTargets()
+			return
+		}
 		if c.storeFailedSince > 0 {
 			c.endOutage(now, "leader")
 		}
@@ -226,6 +231,7 @@
 	c.isLeader.Store(true)
 	c.leadership = newLeadership(c, sentAt, r, version, predecessor)
 	c.startWatch(ownershipRecordKind)
+	c.stopWatch(c.configKind()) // a poll of a follower waits longer than a leader may take to confirm the configuration
 	c.watchConfigAndTargets()
 }
 
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -220,6 +220,10 @@
 		}
 		c.applyConfig(o)
 	}
+	if l.stateReceived {
+		c.leaderConfigConfirmedAt = max(c.leaderConfigConfirmedAt, now-update.ConfigAge)
+		c.configConfirmedAt = max(c.configConfirmedAt, c.leaderConfigConfirmedAt)
+	}
 	if update.Targets != nil {
 		c.activateTargetChange(now, c.targets.applyLeaderUpdate(now, update.Targets))
 	}
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -86,6 +86,9 @@
 	Term uint64 `msgpack:"t"`
 	// StoreAge is the age of the store's last confirmation of the leader's term.
 	StoreAge time.Duration `msgpack:"a"`
+	// ConfigAge is the time since the leader last knew its configuration, which all its
+	// followers with its state have, to be the newest. Leaders of earlier versions leave it out.
+	ConfigAge time.Duration `msgpack:"d,omitempty"`
 	// StoreUnreachable is set if the leader cannot reach the store.
 	StoreUnreachable bool `msgpack:"l,omitempty"`
 	// KeepMissing is the time for which the leader still keeps targets that the store lacks
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/boragegate/boragegate/internal/deployment"
 	"github.com/boragegate/boragegate/internal/socket"
+	"github.com/boragegate/boragegate/ownership/election"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/routing"
 	"github.com/boragegate/boragegate/store"
@@ -188,3 +189,43 @@
 		})
 	})
 })
+
+var _ = Describe("an instance with a leader", func() {
+	var c *controlLoop
+	// hear makes the loop hear the leader, and decide what to watch.
+	hear := func(update stateUpdate) {
+		c.applyStateUpdate(c.link, &update)
+		c.runElection(socket.BootTime())
+	}
+	BeforeEach(func() {
+		c, _ = newTakeoverLoop(1, nil)
+		options := election.DefaultOptions
+		options.WatchDelay = 0 // so that any time without a confirmation is too long
+		options.Jitter = 0
+		c.elector = election.New(options, socket.BootTime(), c.self, func() float64 { return 0.5 })
+		c.link = &leaderLink{leader: rangelease.InstanceInfo{ID: "leader"}, cancel: func() {}}
+		c.record = &rangelease.Record{Leader: c.link.leader}
+		DeferCleanup(func() {
+			c.stopAll()
+			c.t.Kill(nil)
+		})
+		c.watchConfigAndTargets()
+	})
+
+	It("watches the configuration itself until the leader has sent its state", func() {
+		// Guards against changes of the configuration that nobody passes on: the first heartbeat of a new leader ended the watch
+		// of its follower, which had the next configuration 3.7 s after others.
+		const recent = -time.Hour // a confirmation that no delay of this spec makes old
+		hear(stateUpdate{ConfigAge: recent})
+		Expect(c.watches).To(HaveKey("config"))
+		Expect(c.watches).To(HaveKey("servers"))
+		hear(stateUpdate{Leader: &c.link.leader, ConfigAge: recent})
+		Expect(c.watches).To(BeEmpty())
+	})
+
+	It("watches the configuration itself while the leader has no recent answer of the store about it", func() {
+		// Guards against a leader that sends heartbeats while its own watch of the configuration stands still.
+		hear(stateUpdate{Leader: &c.link.leader, ConfigAge: time.Second})
+		Expect(c.watches).To(HaveKey("config"))
+	})
+})
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -26,6 +26,8 @@
 	pollPause = 30 * time.Millisecond
 	// followerPollPause is that delay for polls with followerPollTimeout.
 	followerPollPause = 150 * time.Millisecond
+	// confirmingPollTimeout is the wait of a poll that only confirms that there are no changes.
+	confirmingPollTimeout = time.Millisecond
 	// storeRetryInterval is the time between calls while the store doesn't respond.
 	storeRetryInterval = 300 * time.Millisecond
 	// probersPerRetry is the number of instances that may call the store in each
@@ -76,6 +78,8 @@
 // watch lists the objects of a kind and polls for changes until the context ends. It runs
 // in its own goroutine.
 func (c *controlLoop) watch(ctx context.Context, kind string, since store.Version) {
+	// unconfirmed is set if it is not known whether the state read last is the newest.
+	unconfirmed := since > 0
 	for ctx.Err() == nil {
 		sentAt := socket.BootTime()
 		if since == 0 {
@@ -84,13 +88,18 @@
 				c.awaitWatchRetry(ctx, kind, err)
 				continue
 			}
-			since = version
-			c.postWatchResult(ctx, func(now time.Duration) { c.handleList(now, sentAt, kind, objects, version) })
+			since, unconfirmed = version, false
+			c.postWatchResult(ctx, func(now time.Duration) {
+				c.handleList(now, sentAt, kind, objects, version)
+				c.confirmConfig(kind, sentAt)
+			})
 			continue
 		}
 		waitTime, pause := pollTimeout, pollPause
 		if kind != ownershipRecordKind && !c.isLeader.Load() {
 			waitTime, pause = followerPollTimeout, followerPollPause
+		} else if unconfirmed && kind == c.configKind() {
+			waitTime = confirmingPollTimeout // the followers rely on the leader's confirmation
 		}
 		events, version, err := c.store.Poll(ctx, kind, since, waitTime)
 		switch {
@@ -102,8 +111,15 @@
 		case err != nil:
 			c.awaitWatchRetry(ctx, kind, err)
 		default:
-			since = version
-			c.postWatchResult(ctx, func(now time.Duration) { c.handlePoll(now, sentAt, kind, events, version) })
+			since, unconfirmed = version, len(events) > 0
+			asOf := sentAt
+			if len(events) == 0 && socket.BootTime()-sentAt >= waitTime {
+				asOf += waitTime // the store answered when the wait was over
+			}
+			c.postWatchResult(ctx, func(now time.Duration) {
+				c.handlePoll(now, sentAt, kind, events, version)
+				c.confirmConfig(kind, asOf)
+			})
 			if len(events) > 0 {
 				wait.For(pause, ctx.Done())
 			}
@@ -111,6 +127,14 @@
 	}
 }
 
+// confirmConfig records that the configuration, if that is what the kind of objects is, was the
+// newest at the given time.
+func (c *controlLoop) confirmConfig(kind string, asOf time.Duration) {
+	if kind == c.configKind() {
+		c.configConfirmedAt = max(c.configConfirmedAt, asOf)
+	}
+}
+
 // postWatchResult posts a response of the store. The control loop records that the store
 // has responded and, if the kind is still being watched, applies the changes.
 func (c *controlLoop) postWatchResult(ctx context.Context, apply func(now time.Duration)) {
--- a/ownership/election/election.go
+++ b/ownership/election/election.go
@@ -78,10 +78,11 @@
 	// PeerReportTTL is the time for which a takeover is prevented after the leader was last
 	// heard by another instance, according to the report of that instance.
 	PeerReportTTL time.Duration
-	// CandidateWatchDelay and WatchDelay are the times since a healthy leader was last heard
-	// after which candidates and other instances, respectively, watch configuration and
-	// targets in the store themselves. WatchDelay leaves time for a new leader to take over,
-	// and for one poll before changes must be active.
+	// CandidateWatchDelay and WatchDelay are the times since a healthy leader last confirmed the
+	// configuration after which candidates and other instances, respectively, watch
+	// configuration and targets in the store themselves; WatchDelay also holds while the leader
+	// is healthy. It leaves time for a new leader to take over, and for one poll before changes
+	// must be active.
 	CandidateWatchDelay, WatchDelay time.Duration
 	// RecordReadInterval is the minimum time between two reads of the record by an instance
 	// that starts. Such a read may return a state that is several seconds old.
@@ -158,6 +159,9 @@
 	Leader rangelease.InstanceInfo
 	// LeaderHeardAt is the time at which the leader was last heard, or 0 if it never was.
 	LeaderHeardAt lease.Instant
+	// ConfigConfirmedAt is the latest time as of which this instance knows, through the leader,
+	// that its configuration was the newest; 0 if it never did.
+	ConfigConfirmedAt lease.Instant
 	// LeaderStoreAnswerAt is the time of the store's last known answer to the leader.
 	LeaderStoreAnswerAt lease.Instant
 	// LeaderRefused is true if the leader's address refuses connections or its instance
@@ -176,7 +180,8 @@
 
 // Decision is what an instance has to do.
 type Decision struct {
-	// LeaderHealthy is true if the leader is alive and reaches the store.
+	// LeaderHealthy is true if the leader is alive and reaches the store. WatchConfig may be set
+	// too, if it has not confirmed the configuration for too long.
 	LeaderHealthy bool
 	// SuspicionStarted is true if the suspicion of the leader starts with this decision.
 	SuspicionStarted bool
@@ -207,7 +212,7 @@
 	// refusedAt holds the time of the last refused connection by address.
 	refusedAt map[string]lease.Instant
 
-	healthyAt             lease.Instant // when a healthy leader was last heard, or the start
+	configConfirmedAt     lease.Instant // as of when a healthy leader last confirmed the configuration, or the start
 	linkDeadline          lease.Instant // time by which a newly followed leader must have been heard
 	suspectedAt           lease.Instant // start of the suspicion of the leader, 0 if there is none
 	selfNominationAt      lease.Instant // when this instance nominates itself as a candidate
@@ -225,7 +230,8 @@
 // New returns the elector of an instance that starts at the time now. The function rand
 // returns random numbers in [0, 1).
 func New(options Options, now lease.Instant, self rangelease.InstanceInfo, rand func() float64) *Elector {
-	e := &Elector{options: options, self: self, rand: rand, rank: -1, healthyAt: now, readRecordAt: now, refusedAt: map[string]lease.Instant{}}
+	e := &Elector{options: options, self: self, rand: rand, rank: -1, configConfirmedAt: now, readRecordAt: now, refusedAt: map[string]lease.Instant{}}
+	e.jitter = time.Duration(rand() * float64(options.Jitter))
 	// The fraction of the instances with bootstrapAt up to a time t after the start is
 	// BootstrapFraction·2^(t/BootstrapDoubling). A random fraction is mapped to its time by
 	// the inverse of that function.
@@ -283,8 +289,9 @@
 func (e *Elector) Tick(now lease.Instant, v View) Decision {
 	leaderAlive := v.LeaderHeardAt > 0 && now-v.LeaderHeardAt < e.options.LeaderTimeout
 	if leaderAlive && now-v.LeaderStoreAnswerAt < e.options.LeaderStoreTimeout && !v.LeaderStoreUnreachable {
-		e.suspectedAt, e.healthyAt, e.selfNominated = 0, v.LeaderHeardAt, false
-		return Decision{LeaderHealthy: true}
+		e.suspectedAt, e.selfNominated = 0, false
+		e.configConfirmedAt = max(e.configConfirmedAt, v.ConfigConfirmedAt)
+		return Decision{LeaderHealthy: true, WatchConfig: now-e.configConfirmedAt > e.options.WatchDelay+e.jitter}
 	}
 	if now < e.linkDeadline && v.LeaderHeardAt == 0 && !v.LeaderRefused && e.suspectedAt == 0 && v.Leader.ID != e.self.ID {
 		return Decision{} // wait for the first state update from a newly followed leader
@@ -305,7 +312,7 @@
 		// Instances that are not candidates watch the store only if the leader is silent. A
 		// live leader that cannot reach the store is replaced by a candidate that does; if
 		// no candidate does, the store is down for all instances.
-		d.WatchConfig = !leaderAlive && now-e.healthyAt > e.options.WatchDelay+e.jitter
+		d.WatchConfig = !leaderAlive && now-e.configConfirmedAt > e.options.WatchDelay+e.jitter
 		return d
 	}
 	d.WatchRecord = true
@@ -313,7 +320,7 @@
 	if v.LeaderStoreUnreachable {
 		d.WatchConfig = e.storeReachableSince > 0 && now-e.storeReachableSince > e.options.StoreRecoveryGrace+rankDelay
 	} else {
-		d.WatchConfig = now-e.healthyAt > e.options.CandidateWatchDelay+rankDelay
+		d.WatchConfig = now-e.configConfirmedAt > e.options.CandidateWatchDelay+rankDelay
 	}
 	d.TakeOver = e.canTakeOver(now, v)
 	return d
--- a/ownership/election/election_test.go
+++ b/ownership/election/election_test.go
@@ -241,7 +241,7 @@
 func (c *cluster) deliverStateUpdate(l, m *simInstance) {
 	m.view.LeaderHeardAt, m.view.LeaderStoreUnreachable, m.view.LeaderRefused, m.view.LeaderEnded = c.now, !l.view.StoreReachable, false, false
 	if l.view.StoreReachable {
-		m.view.LeaderStoreAnswerAt = c.now
+		m.view.LeaderStoreAnswerAt, m.view.ConfigConfirmedAt = c.now, c.now
 	}
 	m.elector.SetInstanceCount(len(c.instances))
 }
