Reject requests while the control loop does not run, until the configuration is read

The path of a request asked for the age of the configuration before a 404 only, and the loop, which alone could have noticed, did not run.

Requests now look at the time of the loop's last tick. After WatchDelay without one (2.4 s where changes must be in force within 3 s) they are rejected, with a Retry-After of 50 ms as other instances can serve them, the instance is not ready, and the loop reads the configuration from the store as soon as it runs again. If the store does not answer, the instance goes on with what it has, as all do in an outage. This also holds after a suspension of the process.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -182,6 +182,7 @@
 func (c *controlLoop) handle(f func()) {
 	now := socket.BootTime()
 	c.discountSuspension(now)
+	c.checkLoopDelay(now)
 	if c.leadership != nil {
 		c.leadership.checkSuspended(now)
 	}
@@ -204,6 +205,8 @@
 
 func (c *controlLoop) tick(now time.Duration) {
 	c.discountSuspension(now)
+	c.checkLoopDelay(now)
+	c.shared.loopTickAt.Store(int64(now))
 	c.measureLag(now)
 	if c.isCurrent() {
 		c.shared.freshUntil.Store(int64(now + configFreshWindow))
@@ -248,11 +251,11 @@
 	c.activity.reset()
 }
 
-// ready reports whether requests can be served: a configuration is known, and the holders
-// of the keys of all partitioned services are. It may be called from any goroutine.
+// ready reports whether requests can be served: a configuration is known and may be used, and
+// the holders of the keys of all partitioned services are known. It may be called from any goroutine.
 func (c *controlLoop) ready() bool {
 	config := c.shared.config.Load()
-	if config == nil {
+	if config == nil || c.shared.isConfigUnconfirmed() {
 		return false
 	}
 	c.shared.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,7 +107,8 @@
 	i := &Instance{platform: p, settings: s, log: log, metrics: newInstanceMetrics(), stopping: make(chan struct{})}
 	i.gracePeriod.Store(int64(s.GracePeriod))
 	onLogLost(func() { i.metrics.logLinesLost.Inc(1) })
-	i.shared = newSharedState(s.Zone, dispatch.RetryBudget{
+	options := electionOptions(s)
+	i.shared = newSharedState(s.Zone, options.WatchDelay, dispatch.RetryBudget{
 		Ratio: s.Retries.Ratio, MinRetries: float64(s.Retries.Slack) / defaultInstances, Window: s.Retries.Window,
 	}, s.Policy)
 	i.client = &upstream.Client{
@@ -133,7 +134,7 @@
 		minRetries: float64(s.Retries.Slack), maxLeaseDuration: s.MaxLeaseDuration, events: make(chan func(), 256), urgent: make(chan func(), 64),
 		targets: newTargetList(), leaving: newLeavingTargets(), owners: map[string][]routing.Owner{}, watches: map[string]context.CancelFunc{},
 	}
-	i.control.elector = election.New(electionOptions(s), socket.BootTime(), i.control.self, rand.Float64)
+	i.control.elector = election.New(options, socket.BootTime(), i.control.self, rand.Float64)
 	return i, nil
 }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -22,9 +22,9 @@
 	// noConfigRetryAfter is the Retry-After while no configuration is known, or while the
 	// known one may be outdated and has no route for the request.
 	noConfigRetryAfter = 300 * time.Millisecond
-	// stoppingRetryAfter is the Retry-After of an instance that is stopping: other
-	// instances can serve the request at once.
-	stoppingRetryAfter = 50 * time.Millisecond
+	// otherInstanceRetryAfter is the Retry-After of an instance that is stopping or has not
+	// confirmed its configuration: other instances can serve the request at once.
+	otherInstanceRetryAfter = 50 * time.Millisecond
 	// minShedRetryAfter is the shortest Retry-After if a target refused the request. A
 	// target that refuses at random may accept the retry.
 	minShedRetryAfter = 50 * time.Millisecond
@@ -50,6 +50,7 @@
 // dispatch.
 const (
 	reasonNoConfig          = "no_config"
+	reasonConfigUnconfirmed = "config_unconfirmed"
 	reasonStopping          = "stopping"
 	reasonNoRoute           = "no_route"
 	reasonTimeout           = "timeout"
@@ -80,12 +81,15 @@
 // handle implements ingress.Handler.
 func (f *forwarder) handle(ctx context.Context, r *ingress.Request) *ingress.Response {
 	if f.rejecting.Load() {
-		return f.respondUnavailable(nil, r, reasonStopping, stoppingRetryAfter)
+		return f.respondUnavailable(nil, r, reasonStopping, otherInstanceRetryAfter)
 	}
 	config := f.shared.config.Load()
 	if config == nil {
 		return f.respondUnavailable(nil, r, reasonNoConfig, noConfigRetryAfter)
 	}
+	if f.shared.isConfigUnconfirmed() {
+		return f.respondUnavailable(nil, r, reasonConfigUnconfirmed, otherInstanceRetryAfter)
+	}
 	route := matchRoute(config, r.Request)
 	if route == nil && f.shared.isConfigStale() {
 		return f.respondUnavailable(nil, r, reasonNoConfig, noConfigRetryAfter)
@@ -111,7 +115,7 @@
 	c.elapsedBefore = f.shared.recordArrival(&dispatch.Request{Service: c.service, Kind: route.Kind, Key: c.key, Remaining: callerRemaining})
 	if stopDeadline := f.stopDeadline.Load(); stopDeadline != nil && c.deadline.After(*stopDeadline) {
 		if !route.Kind.IsIdempotent() {
-			return f.respondUnavailable(c, r, reasonStopping, stoppingRetryAfter)
+			return f.respondUnavailable(c, r, reasonStopping, otherInstanceRetryAfter)
 		}
 		c.deadline = *stopDeadline // the target ends its work by then, so the request is answered and not cut
 	}
--- a/internal/edge/outage_test.go
+++ b/internal/edge/outage_test.go
@@ -36,7 +36,7 @@
 func newTestLoop() *controlLoop {
 	self := rangelease.InstanceInfo{ID: "self", Strength: 1}
 	return &controlLoop{
-		store: silentStore{}, shared: newSharedState("z", dispatch.RetryBudget{Ratio: 0.2, Window: time.Second}, dispatch.Policy{}),
+		store: silentStore{}, shared: newSharedState("z", election.DefaultOptions.WatchDelay, dispatch.RetryBudget{Ratio: 0.2, Window: time.Second}, dispatch.Policy{}),
 		client: &upstream.Client{}, log: zerolog.New(GinkgoWriter), metrics: newInstanceMetrics(), self: self,
 		events: make(chan func(), 16), urgent: make(chan func(), 16), targets: newTargetList(), leaving: newLeavingTargets(),
 		owners: map[string][]routing.Owner{}, watches: map[string]context.CancelFunc{},
--- a/internal/edge/shared_state.go
+++ b/internal/edge/shared_state.go
@@ -18,6 +18,12 @@
 	// freshUntil is the time until which the configuration is known to be current, as a
 	// time.Duration since boot; 0 if not known yet.
 	freshUntil atomic.Int64
+	// loopTickAt is the time of the control loop's last tick, as a time.Duration since boot; 0
+	// before the first. maxLoopDelay is the time without a tick after which the configuration is
+	// unconfirmed, and reconfirming is set until it is confirmed again.
+	loopTickAt   atomic.Int64
+	maxLoopDelay time.Duration
+	reconfirming atomic.Bool
 	// instances is the number of instances that share the limits of targets.
 	instances atomic.Int64
 
@@ -46,9 +52,10 @@
 // seconds.
 const leavingReportTime = 5 * time.Second
 
-func newSharedState(zone string, budget dispatch.RetryBudget, policy dispatch.Policy) *sharedState {
+func newSharedState(zone string, maxLoopDelay time.Duration, budget dispatch.RetryBudget, policy dispatch.Policy) *sharedState {
 	s := &sharedState{
-		policy: policy, balancer: dispatch.NewBalancer(zone, budget), changed: make(chan struct{}), keyCounts: map[string]map[int]int{}, reportedLeaving: map[routing.Lifetime]time.Duration{},
+		maxLoopDelay: maxLoopDelay,
+		policy:       policy, balancer: dispatch.NewBalancer(zone, budget), changed: make(chan struct{}), keyCounts: map[string]map[int]int{}, reportedLeaving: map[routing.Lifetime]time.Duration{},
 		unreportedRateLimits: map[routing.Lifetime]struct{}{}, rateLimitReportedAt: map[routing.Lifetime]time.Duration{}, rateLimitSignal: make(chan struct{}, 1),
 	}
 	s.instances.Store(defaultInstances)
