Let candidates and followers of a new leader watch the configuration in time

A candidate began to watch the store 1.4 s plus 0.3 s for each rank after the last confirmation, 3.2 s for the last one, where 3 s are allowed. An instance that followed a new leader watched nothing until it had heard it, for 0.4 s each time.

Both now watch from WatchDelay at the latest. The model of the election has the configuration too: a change each second, leaders that are killed, frozen, cut off, refused by the store, or whose own watch stands still, states that arrive up to 2 s after the first heartbeat; after each step no instance without a fault of its own may lack a version acknowledged longer ago than the bound.

--- a/ownership/election/election.go
+++ b/ownership/election/election.go
@@ -291,10 +291,10 @@
 	if leaderAlive && now-v.LeaderStoreAnswerAt < e.options.LeaderStoreTimeout && !v.LeaderStoreUnreachable {
 		e.suspectedAt, e.selfNominated = 0, false
 		e.configConfirmedAt = max(e.configConfirmedAt, v.ConfigConfirmedAt)
-		return Decision{LeaderHealthy: true, WatchConfig: now-e.configConfirmedAt > e.options.WatchDelay+e.jitter}
+		return Decision{LeaderHealthy: true, WatchConfig: e.isConfigOverdue(now)}
 	}
 	if now < e.linkDeadline && v.LeaderHeardAt == 0 && !v.LeaderRefused && e.suspectedAt == 0 && v.Leader.ID != e.self.ID {
-		return Decision{} // wait for the first state update from a newly followed leader
+		return Decision{WatchConfig: e.isConfigOverdue(now)} // wait for the first state update from a newly followed leader
 	}
 	d := Decision{ReadRecord: e.shouldReadRecord(now)}
 	if e.suspectedAt == 0 {
@@ -312,7 +312,7 @@
 		// Instances that are not candidates watch the store only if the leader is silent. A
 		// live leader that cannot reach the store is replaced by a candidate that does; if
 		// no candidate does, the store is down for all instances.
-		d.WatchConfig = !leaderAlive && now-e.configConfirmedAt > e.options.WatchDelay+e.jitter
+		d.WatchConfig = !leaderAlive && e.isConfigOverdue(now)
 		return d
 	}
 	d.WatchRecord = true
@@ -320,12 +320,18 @@
 	if v.LeaderStoreUnreachable {
 		d.WatchConfig = e.storeReachableSince > 0 && now-e.storeReachableSince > e.options.StoreRecoveryGrace+rankDelay
 	} else {
-		d.WatchConfig = now-e.configConfirmedAt > e.options.CandidateWatchDelay+rankDelay
+		d.WatchConfig = now-e.configConfirmedAt > e.options.CandidateWatchDelay+rankDelay || e.isConfigOverdue(now)
 	}
 	d.TakeOver = e.canTakeOver(now, v)
 	return d
 }
 
+// isConfigOverdue reports whether the leader has not confirmed the configuration for so long that
+// this instance has to watch it itself.
+func (e *Elector) isConfigOverdue(now lease.Instant) bool {
+	return now-e.configConfirmedAt > e.options.WatchDelay+e.jitter
+}
+
 // shouldReadRecord reports whether an instance that knows no candidates has to read the
 // record now.
 func (e *Elector) shouldReadRecord(now lease.Instant) bool {
--- a/ownership/election/election_test.go
+++ b/ownership/election/election_test.go
@@ -59,6 +59,7 @@
 	pollAt          [3]lease.Instant // by kind: record, configuration, targets
 	heartbeatSentAt lease.Instant
 	waiting         []waitingQuery
+	config          configState
 }
 
 // waitingQuery is an instance that waits for an answer to its leader query.
@@ -86,6 +87,10 @@
 	storeDown      bool
 	random         *rand.Rand
 
+	configAckedAt      []lease.Instant // by version of the configuration
+	storeUnstableUntil lease.Instant
+	maxStateDelay      time.Duration // longest time from a follower's first heartbeat to the leader's complete state
+
 	calls, takeoverWrites int
 	staleReads            int         // reads that may return an old state, at a tenth of the cost of a call
 	callsPerSecond        map[int]int // calls of instances that do not lead, by second
@@ -93,7 +98,7 @@
 }
 
 func newCluster(n int) *cluster {
-	c := &cluster{now: time.Second, callsPerSecond: map[int]int{}, takeoverWriters: map[string]bool{}}
+	c := &cluster{now: time.Second, configAckedAt: []lease.Instant{time.Second}, callsPerSecond: map[int]int{}, takeoverWriters: map[string]bool{}}
 	c.random = rand.New(rand.NewPCG(uint64(n), 7))
 	for i := range n {
 		m := &simInstance{InstanceInfo: rangelease.InstanceInfo{ID: fmt.Sprintf("i%d", i), Incarnation: 1, Address: fmt.Sprintf("a%d", i), Strength: 0.16}, up: true}
@@ -111,7 +116,7 @@
 // restart replaces the process of an instance by a new one that knows nothing.
 func (c *cluster) restart(m *simInstance) {
 	m.Incarnation++
-	*m = simInstance{InstanceInfo: m.InstanceInfo, up: true, tickDue: true, storeUnreachable: m.storeUnreachable, isolated: m.isolated}
+	*m = simInstance{InstanceInfo: m.InstanceInfo, up: true, tickDue: true, storeUnreachable: m.storeUnreachable, isolated: m.isolated, config: configState{faultyUntil: c.now}}
 	m.elector = election.New(options(), c.now, m.InstanceInfo, c.random.Float64)
 }
 
@@ -241,8 +246,9 @@
 func (c *cluster) deliverStateUpdate(l, m *simInstance) {
 	m.view.LeaderHeardAt, m.view.LeaderStoreUnreachable, m.view.LeaderRefused, m.view.LeaderEnded = c.now, !l.view.StoreReachable, false, false
 	if l.view.StoreReachable {
-		m.view.LeaderStoreAnswerAt, m.view.ConfigConfirmedAt = c.now, c.now
+		m.view.LeaderStoreAnswerAt = c.now
 	}
+	c.deliverConfig(l, m)
 	m.elector.SetInstanceCount(len(c.instances))
 }
 
@@ -282,8 +288,14 @@
 }
 
 func (c *cluster) poll(m *simInstance, kind int, wanted bool) {
-	changed := kind == 0 && m.version != c.version && m.view.StoreReachable    // a change answers the long poll
-	waitsForRecord := kind > 0 && m.pollAt[kind] > 0 && !m.view.StoreReachable // until a poll of the record is answered
+	// A change answers a long poll at once.
+	changed := kind == 0 && m.version != c.version || kind == 1 && m.pollAt[1] > 0 && m.config.version != c.configVersion()
+	changed = changed && m.view.StoreReachable
+	// After a failure, watches of other kinds wait until a poll of the record is answered, if the record is watched.
+	waitsForRecord := kind > 0 && m.pollAt[0] > 0 && m.pollAt[kind] > 0 && !m.view.StoreReachable
+	if !wanted {
+		m.pollAt[kind] = 0
+	}
 	if !wanted || waitsForRecord || c.now < m.pollAt[kind] && !changed {
 		return
 	}
@@ -297,8 +309,11 @@
 			c.sendStateUpdate(m) // before other instances take over
 		}
 		m.pollAt[kind] = c.now + pollIntervals[kind]
-		if kind == 0 {
+		switch kind {
+		case 0:
 			c.readRecord(m)
+		case 1:
+			m.config.version, m.config.confirmedAt = c.configVersion(), c.now
 		}
 	}
 }
@@ -331,6 +346,7 @@
 		c.answerWaiting(m)
 		if m.leads {
 			c.poll(m, 0, true)
+			c.watchConfigAsLeader(m)
 			if c.now-m.heartbeatSentAt >= heartbeatInterval {
 				m.heartbeatSentAt = c.now
 				c.sendStateUpdate(m)
