End an outage that a healthy leader refutes, also while the configuration is watched

An instance that watches the configuration beside a healthy leader could stop getting changes: after a failed call its watch waited for the watch of the ownership record to find that the store responds, and that one had ended. The leader's word now ends the outage in both cases, which lets the watch go on.

--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -44,14 +44,14 @@
 		if wasSuspected {
 			c.log.Info().Str("event", "leader.heard").Str("leader", c.leaderID()).Uint64("term", c.term).Send()
 		}
+		if c.storeFailedSince > 0 {
+			c.endOutage(now, "leader") // watches that wait for its end go on
+		}
 		c.stopWatch(ownershipRecordKind)
 		if d.WatchConfig { // this leader has not sent its state, or has itself no recent answer about the configuration
 			c.watchConfigAndTargets()
 			return
 		}
-		if c.storeFailedSince > 0 {
-			c.endOutage(now, "leader")
-		}
 		for kind := range c.watches {
 			c.stopWatch(kind)
 		}
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -223,6 +223,16 @@
 		Expect(c.watches).To(BeEmpty())
 	})
 
+	It("goes on with that watch if it waits for the end of an outage of the store", func() {
+		// Guards against a watch that waits for the watch of the ownership record, which has ended, to find that the store
+		// responds again. The model of the configuration in package election found this.
+		c.recordStoreFailure(context.Background(), socket.BootTime(), store.ErrUnavailable)
+		hear(stateUpdate{})
+		Expect(c.watches).To(HaveKey("config"))
+		Expect(c.watches).NotTo(HaveKey(ownershipRecordKind))
+		Expect(c.storeRecovered).To(BeClosed())
+	})
+
 	It("watches the configuration itself while the leader has no recent answer of the store about it", func() {
 		// Guards against a leader that sends heartbeats while its own watch of the configuration stands still.
 		hear(stateUpdate{Leader: &c.link.leader, ConfigAge: time.Second})
