Count the time of a lease request from its decision

A grant could reach a target later than the grantor assumes when it decides how long the target may hold the key: the time of a call began when its goroutine got to run, and on a leader with 1,319 open lease requests goroutines waited up to 0.8 s. Then two targets could hold a key. The deadline is now set when the call is decided. Without the change the new spec fails: the deadline is 5 ms late.

--- a/internal/edge/lease_calls.go
+++ b/internal/edge/lease_calls.go
@@ -36,8 +36,10 @@
 		l.startingCalls = append(l.startingCalls, call)
 		startTimer = time.AfterFunc(callStartTimeout, func() { c.post(func() { l.finishStart(call) }) })
 	}
+	// The grantor counts the time within which the request can arrive from now on, not from when
+	// the goroutine gets to run.
+	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	c.t.Go(func() error {
-		ctx, cancel := context.WithTimeout(l.ctx, timeout)
 		defer cancel()
 		response := send(ctx)
 		c.activity.openLeaseRequests.Add(-1)
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -103,6 +103,30 @@
 		Expect(time.Duration(c.metrics.controlLag.Max())).To(BeNumerically("<", heartbeatInterval))
 	})
 
+	It("gives up a lease request in time, however late its goroutine runs", func() {
+		// Guards against two holders of a key: a grant that arrives later than the grantor assumes extends a lease beyond the
+		// time at which the key is given to another target.
+		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+		c, record := newTakeoverLoop(1, &busyLeaseClient{})
+		c.startLeading(socket.BootTime(), record, 1)
+		DeferCleanup(func() {
+			c.stopAll()
+			c.t.Kill(nil)
+			Expect(c.t.Wait()).To(Succeed())
+		})
+		const timeout, delay = time.Second, 5 * time.Millisecond
+		deadlines := make(chan time.Time, 1)
+		c.leadership.startCall(&leaseCall{}, timeout, func(ctx context.Context) deployment.LeaseResponse {
+			deadline, _ := ctx.Deadline()
+			deadlines <- deadline
+			return deployment.LeaseResponse{}
+		})
+		latest := time.Now().Add(timeout)
+		for time.Now().Before(latest.Add(delay - timeout)) { // keeps the goroutine from running on the only processor
+		}
+		Expect(<-deadlines).To(BeTemporally("<=", latest))
+	})
+
 	Context("that others join", func() {
 		var c *controlLoop
 		// join lets an instance connect, as servePeer does.
