--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -217,9 +217,13 @@
 		return
 	}
 	predecessor := c.predecessor()
+	var replaced rangelease.InstanceInfo
 	if c.record != nil && c.record.Leader.ID != c.self.ID {
-		address := c.record.Leader.Address
-		c.t.Go(func() error { c.sendLeaderInfo(address, leaderInfo{Term: r.Term, Leader: r.Leader}); return nil })
+		replaced = c.record.Leader
+		c.t.Go(func() error {
+			c.sendLeaderInfo(replaced.Address, leaderInfo{Term: r.Term, Leader: r.Leader})
+			return nil
+		})
 	}
 	c.record, c.recordVersion, c.term = r, version, r.Term
 	if c.link != nil {
@@ -230,6 +234,9 @@
 	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Send()
 	c.isLeader.Store(true)
 	c.leadership = newLeadership(c, sentAt, r, version, predecessor)
+	if replaced.Address != "" { // it is told again until it follows, because it may be too busy to accept a connection now
+		c.leadership.lostFollowers[replaced.ID] = lostFollower{address: replaced.Address, notifyUntil: socket.BootTime() + lostFollowerRetention}
+	}
 	c.startWatch(ownershipRecordKind)
 	c.stopWatch(c.configKind()) // a poll of a follower waits longer than a leader may take to confirm the configuration
 	c.watchConfigAndTargets()
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -59,7 +59,8 @@
 	closed atomic.Bool
 }
 
-// lostFollower is a former follower whose connection has ended.
+// lostFollower is a former follower whose connection has ended, or the leader that this one has
+// replaced until it follows.
 type lostFollower struct {
 	address     string
 	notifyUntil time.Duration
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -103,6 +103,23 @@
 		Expect(time.Duration(c.metrics.controlLag.Max())).To(BeNumerically("<", heartbeatInterval))
 	})
 
+	It("tells the leader that it replaces until that one follows", func() {
+		// Guards against a replaced leader that goes on alone: the only attempt to tell it timed out, the store refused it, and
+		// it kept an old configuration for six seconds.
+		replaced := rangelease.InstanceInfo{ID: "replaced", Address: "127.0.0.1:1"}
+		c, record := newTakeoverLoop(1, &busyLeaseClient{})
+		c.record = &rangelease.Record{Term: 1, Leader: replaced}
+		c.startLeading(socket.BootTime(), record, 1)
+		DeferCleanup(func() {
+			c.stopAll()
+			c.t.Kill(nil)
+			Expect(c.t.Wait()).To(Succeed())
+		})
+		Expect(c.leadership.lostFollowers).To(HaveKey("replaced"))
+		c.addFollower(&follower{InstanceInfo: replaced, out: make(chan []byte, followerQueueLength), stop: func() {}})
+		Expect(c.leadership.lostFollowers).To(BeEmpty())
+	})
+
 	It("gives up a lease request in time, however late its goroutine runs", func() {
 		// Guards against two holders of a key: a grant that arrives later than the grantor assumes extends a lease beyond the
 		// time at which the key is given to another target.
