--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -90,9 +90,10 @@
 	// configConfirmedAt is the latest time as of which the active configuration is known to have
 	// been the newest, and leaderConfigConfirmedAt the same through the leader.
 	configConfirmedAt, leaderConfigConfirmedAt time.Duration
-	targets                                    *targetList
-	leaving                                    *leavingTargets
-	owners                                     map[string][]routing.Owner
+
+	targets *targetList
+	leaving *leavingTargets
+	owners  map[string][]routing.Owner
 
 	record        *rangelease.Record
 	recordVersion store.Version
@@ -166,9 +167,9 @@
 		case <-c.shared.rateLimitSignal:
 			c.handle(func() { c.exchangeRateLimits(socket.BootTime()) })
 		case <-ticker.C:
-			now := socket.BootTime()
-			c.tick(now)
-			c.activity.longest = max(c.activity.longest, socket.BootTime()-now)
+			startedAt := time.Now()
+			c.tick(socket.BootTime())
+			c.activity.longest = max(c.activity.longest, time.Since(startedAt))
 		case <-c.t.Dying():
 			c.stopAll()
 			return nil
@@ -186,9 +187,10 @@
 	if c.leadership != nil {
 		c.leadership.checkSuspended(now)
 	}
+	startedAt := time.Now()
 	f()
 	c.activity.events++
-	c.activity.longest = max(c.activity.longest, socket.BootTime()-now)
+	c.activity.longest = max(c.activity.longest, time.Since(startedAt))
 }
 
 func (c *controlLoop) stopAll() {
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -53,8 +53,7 @@
 	// between two state updates that publish sends. It is about ten times the time that the
 	// write to one follower takes.
 	publishIntervalPerFollower = 500 * time.Microsecond
-	// maxStartingCalls is the number of lease requests that may be in their start at the same
-	// time. They compete with the control loop for the processor: the renewals of 820 targets
+	// maxStartingCalls is the number of lease requests that may be starting at the same time. They compete with the control loop for the processor: the renewals of 820 targets
 	// at once kept the loop of an instance with 0.16 cores from running for 3.9 s.
 	maxStartingCalls = 32
 	// minCallBatch is the number of free starts from which due lease requests are looked for,
@@ -76,10 +75,10 @@
 	permits       *ratelimit.Allocator[*follower]
 	permitTimer   *time.Timer   // fires when the next permits are available
 	recordVersion store.Version // of the ownership record
-	// startingCalls are the lease requests in their start, and callsStarted is the number of
-	// all that were ever begun.
+	// startingCalls are the lease requests that have been begun but not started (see startCall),
+	// and callsBegun counts all that were begun.
 	startingCalls []*leaseCall
-	callsStarted  uint64
+	callsBegun    uint64
 
 	rates            map[string]*keyrange.KeyRates
 	serviceTimes     map[string]*keyrange.ServiceTimes // by service
--- a/internal/edge/lease_calls.go
+++ b/internal/edge/lease_calls.go
@@ -20,19 +20,19 @@
 	fencingToken uint64
 	probe        bool
 
-	order uint64 // position in the order in which the leader began its calls
+	order uint64 // position among all calls that the leader has begun, 0 for a probe
 }
 
-// startCall sends a lease request in its own goroutine and posts the result. Until the call
-// has started, it counts against maxStartingCalls, unless it is a probe; the grantor bounds
-// their number itself.
+// startCall sends a lease request in its own goroutine and posts the result. The call is
+// starting, and counts against maxStartingCalls, until it is answered or overtaken, or until
+// callStartTimeout. Probes do not count, as the grantor bounds their number.
 func (l *leadership) startCall(call *leaseCall, timeout time.Duration, send func(context.Context) deployment.LeaseResponse) {
 	c := l.c
 	c.activity.openLeaseRequests.Add(1)
 	var startTimer *time.Timer
 	if !call.probe {
-		l.callsStarted++
-		call.order = l.callsStarted
+		l.callsBegun++
+		call.order = l.callsBegun
 		l.startingCalls = append(l.startingCalls, call)
 		startTimer = time.AfterFunc(callStartTimeout, func() { c.post(func() { l.finishStart(call) }) })
 	}
@@ -51,15 +51,16 @@
 	})
 }
 
-// finishStart ends the start of a call, and sends the lease requests that were left out because
-// too many others were in their start.
+// finishStart marks a call as started, and sends the lease requests that were left out because
+// too many others were starting.
 func (l *leadership) finishStart(call *leaseCall) {
 	l.startingCalls = slices.DeleteFunc(l.startingCalls, func(other *leaseCall) bool { return other == call })
 	l.startDueCalls()
 }
 
-// finishStartAnswered ends the start of an answered call, and that of calls which were begun
-// long before it: as they were overtaken, they wait for the network and not for the processor.
+// finishStartAnswered marks an answered call as started, and with it the calls that were begun
+// maxStartingCalls or more before: as they were overtaken, they wait for the network and not for
+// the processor.
 func (l *leadership) finishStartAnswered(call *leaseCall) {
 	l.startingCalls = slices.DeleteFunc(l.startingCalls, func(other *leaseCall) bool {
 		return other == call || other.order+maxStartingCalls <= call.order
--- a/internal/edge/reconfirm.go
+++ b/internal/edge/reconfirm.go
@@ -35,7 +35,7 @@
 
 // reconfirmConfig reads the configuration from the store in a goroutine of its own. If the store
 // does not answer, this instance goes on with the configuration that it has, like all others
-// during an outage.
+// during an outage. A failed call says nothing about the store while the loop stands still.
 func (c *controlLoop) reconfirmConfig() {
 	ctx := c.t.Context(context.Background())
 	kind, name := c.platform.ConfigObject()
@@ -44,18 +44,19 @@
 		object, err := c.store.Get(ctx, kind, name)
 		c.postUrgent(func() {
 			now := socket.BootTime()
+			answered := err == nil || errors.Is(err, store.ErrNotFound)
+			if answered && now-sentAt > c.shared.maxLoopDelay || !answered && now-time.Duration(c.shared.loopTickAt.Load()) > suspensionThreshold {
+				c.reconfirmConfig()
+				return
+			}
 			switch {
 			case err == nil:
 				c.recordStoreAnswer(now)
 				c.applyConfig(object)
 				c.confirmConfig(kind, sentAt)
-			case !errors.Is(err, store.ErrNotFound):
+			case !answered:
 				c.recordStoreFailure(ctx, now, err)
 			}
-			if now-sentAt > c.shared.maxLoopDelay { // the loop did not run meanwhile
-				c.reconfirmConfig()
-				return
-			}
 			c.shared.reconfirming.Store(false)
 			c.log.Info().Str("event", "config.reconfirmed").Dur("took_ms", now-sentAt).Uint64("store_version", uint64(c.configVersion)).Err(err).Send()
 		})
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -70,6 +70,7 @@
 	c := newTestLoop()
 	c.platform, c.store = testPlatform{leaseClient: client}, idleStore{}
 	c.events, c.urgent = make(chan func(), 256), make(chan func(), 64)
+	c.t.Go(func() error { <-c.t.Dying(); return nil }) // as the running loop, it lets the others begin
 	c.shared.config.Store(&routing.Config{Services: map[string]routing.Service{service: {Name: service, Partitioned: true}}})
 	c.configVersion, c.configObject = 1, store.Object{Kind: "config", Name: "main", Version: 1}
 	record := &rangelease.Record{Term: 2, Leader: c.self, Services: map[string][]rangelease.Entry{}}
