Let the number of open lease requests follow the delay of the control loop

A fixed bound on open requests would hold back renewals wherever many targets do not respond.

Lease requests now have a window: 32 at the takeover, one more with each response, 0.7 of it after each tick of the control loop that is late by more than 50 ms, at least 16. A request without a response leaves it after 100 ms. So the loop's own delay, which is what followers notice, sets the number. The elector draws its first jitter from the instance's ID, so that the random order in which instances begin to lead is as before.

--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/boragegate/boragegate/dispatch"
@@ -54,12 +53,6 @@
 	// between two state updates that publish sends. It is about ten times the time that the
 	// write to one follower takes.
 	publishIntervalPerFollower = 500 * time.Microsecond
-	// maxStartingCalls is the number of lease requests that may be starting at the same time. They compete with the control loop for the processor: the renewals of 820 targets
-	// at once kept the loop of an instance with 0.16 cores from running for 3.9 s.
-	maxStartingCalls = 32
-	// minCallBatch is the number of free starts from which due lease requests are looked for,
-	// because that takes a pass over all spans.
-	minCallBatch = maxStartingCalls / 2
 )
 
 // leadership is the state of an instance while it is the leader. It is confined to the
@@ -73,8 +66,7 @@
 	permits       *ratelimit.Allocator[*follower]
 	permitTimer   *time.Timer   // fires when the next permits are available
 	recordVersion store.Version // of the ownership record
-	// startingCalls is the number of lease requests that are starting; see startCall.
-	startingCalls atomic.Int64
+	calls         callWindow
 
 	rates            map[string]*keyrange.KeyRates
 	serviceTimes     map[string]*keyrange.ServiceTimes // by service
@@ -115,7 +107,7 @@
 		grantor: rangelease.New(grantOptions(c), sentAt, socket.BootTime(), r, predecessor),
 		rates:   map[string]*keyrange.KeyRates{}, serviceTimes: map[string]*keyrange.ServiceTimes{},
 		warmUpUntil: map[routing.Lifetime]time.Duration{}, followers: map[*follower]struct{}{}, joining: map[*follower]struct{}{},
-		links: map[string]*follower{}, predecessorInstances: r.InstanceCount, lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(), permits: ratelimit.NewAllocator[*follower](),
+		links: map[string]*follower{}, predecessorInstances: r.InstanceCount, lostFollowers: map[string]lostFollower{}, startedAt: socket.BootTime(), calls: newCallWindow(), permits: ratelimit.NewAllocator[*follower](),
 	}
 	l.permitTimer = time.AfterFunc(tickInterval, c.shared.signalRateLimits)
 	for _, n := range c.shared.rateLimitNotices(l.startedAt) {
@@ -215,6 +207,9 @@
 // tick plans moves, sends due grants and releases, and sends state updates to the
 // followers.
 func (l *leadership) tick(now time.Duration) {
+	if l.lastTickAt > 0 {
+		l.calls.recordTick(now - l.lastTickAt - tickInterval)
+	}
 	l.checkSuspended(now)
 	l.lastTickAt = now
 	if l.grantor.TakeLaterTermSeen() {
@@ -239,7 +234,7 @@
 
 // advance performs the due actions of the grantor and publishes changes.
 func (l *leadership) advance(now time.Duration) {
-	for _, a := range l.grantor.Tick(now, maxStartingCalls-int(l.startingCalls.Load())) {
+	for _, a := range l.grantor.Tick(now, l.calls.free()) {
 		l.execute(a)
 	}
 	l.publish(now)
--- a/ownership/election/election.go
+++ b/ownership/election/election.go
@@ -231,7 +231,8 @@
 // returns random numbers in [0, 1).
 func New(options Options, now lease.Instant, self rangelease.InstanceInfo, rand func() float64) *Elector {
 	e := &Elector{options: options, self: self, rand: rand, rank: -1, configConfirmedAt: now, readRecordAt: now, refusedAt: map[string]lease.Instant{}}
-	e.jitter = time.Duration(rand() * float64(options.Jitter))
+	// Until the first suspicion, the jitter follows from the ID.
+	e.jitter = time.Duration(float64(xxhash.Sum64String(self.ID)) / math.MaxUint64 * float64(options.Jitter))
 	// The fraction of the instances with bootstrapAt up to a time t after the start is
 	// BootstrapFraction·2^(t/BootstrapDoubling). A random fraction is mapped to its time by
 	// the inverse of that function.
