--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -109,6 +109,13 @@
 	return c, record
 }
 
+// endLoop ends what a control loop has begun that is not running.
+func endLoop(c *controlLoop) {
+	c.stopAll()
+	c.t.Kill(nil)
+	Expect(c.t.Wait()).To(Succeed())
+}
+
 var _ = Describe("an instance that takes over the leadership", func() {
 	It("keeps its control loop responsive while it renews the leases of hundreds of targets", func() {
 		// Guards against a new leader whose control loop stands for seconds, because hundreds of lease requests compete with
@@ -131,11 +138,7 @@
 		// Guards against the same, without a clock: a new leader sent 820 lease requests in its first tick.
 		c, record := newTakeoverLoop(820, &halfSilentLeaseClient{})
 		c.startLeading(socket.BootTime(), record, 1)
-		DeferCleanup(func() {
-			c.stopAll()
-			c.t.Kill(nil)
-			Expect(c.t.Wait()).To(Succeed())
-		})
+		DeferCleanup(endLoop, c)
 		l, now := c.leadership, socket.BootTime()
 		l.tick(now)
 		Expect(l.calls.open).To(Equal(initialCallWindow))
@@ -178,11 +181,7 @@
 		c, record := newTakeoverLoop(1, &busyLeaseClient{})
 		c.record = &rangelease.Record{Term: 1, Leader: replaced}
 		c.startLeading(socket.BootTime(), record, 1)
-		DeferCleanup(func() {
-			c.stopAll()
-			c.t.Kill(nil)
-			Expect(c.t.Wait()).To(Succeed())
-		})
+		DeferCleanup(endLoop, c)
 		Expect(c.leadership.lostFollowers).To(HaveKey("replaced"))
 		c.addFollower(&follower{InstanceInfo: replaced, out: make(chan []byte, followerQueueLength), stop: func() {}})
 		Expect(c.leadership.lostFollowers).To(BeEmpty())
@@ -194,11 +193,7 @@
 		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 		c, record := newTakeoverLoop(1, &busyLeaseClient{})
 		c.startLeading(socket.BootTime(), record, 1)
-		DeferCleanup(func() {
-			c.stopAll()
-			c.t.Kill(nil)
-			Expect(c.t.Wait()).To(Succeed())
-		})
+		DeferCleanup(endLoop, c)
 		const timeout, delay = time.Second, 5 * time.Millisecond
 		deadlines := make(chan time.Time, 1)
 		c.leadership.startCall(&leaseCall{}, timeout, func(ctx context.Context) deployment.LeaseResponse {
@@ -232,11 +227,7 @@
 			c, record = newTakeoverLoop(8, &busyLeaseClient{})
 			record.InstanceCount = 295
 			c.startLeading(socket.BootTime(), record, 1)
-			DeferCleanup(func() {
-				c.stopAll()
-				c.t.Kill(nil)
-				Expect(c.t.Wait()).To(Succeed())
-			})
+			DeferCleanup(endLoop, c)
 		})
 
 		It("sends each a heartbeat at once, and encodes the state a few times for hundreds", func() {
@@ -314,10 +305,7 @@
 		c.elector = election.New(options, socket.BootTime(), c.self, func() float64 { return 0.5 })
 		c.link = &leaderLink{leader: rangelease.InstanceInfo{ID: "leader"}, cancel: func() {}}
 		c.record = &rangelease.Record{Leader: c.link.leader}
-		DeferCleanup(func() {
-			c.stopAll()
-			c.t.Kill(nil)
-		})
+		DeferCleanup(endLoop, c)
 		c.watchConfigAndTargets()
 	})
 
