--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -177,9 +177,9 @@
 	}
 }
 
-// handle runs an event. A leader checks first whether its process was suspended: another
-// instance may lead by now, so it must not act on events that arrived meanwhile before the
-// store has confirmed its term.
+// handle runs an event. It checks first whether the loop has run recently: otherwise the
+// configuration has to be confirmed and, as another instance may lead by now, a leader must not
+// act on events that arrived meanwhile before the store has confirmed its term.
 func (c *controlLoop) handle(f func()) {
 	now := socket.BootTime()
 	c.discountSuspension(now)
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -66,7 +66,7 @@
 	permits       *ratelimit.Allocator[*follower]
 	permitTimer   *time.Timer   // fires when the next permits are available
 	recordVersion store.Version // of the ownership record
-	calls         callWindow
+	calls         callWindow    // of the open lease requests
 
 	rates            map[string]*keyrange.KeyRates
 	serviceTimes     map[string]*keyrange.ServiceTimes // by service
