Take a leader's update for as old as it is when it arrives

Updates now carry the leader's time. A follower takes the first one on a connection for as old as its own request, and later ones relative to it, which is a bound that holds however late they arrive. Without the change the new spec fails: an update that was sent 3 s before counts as new.

--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -296,7 +296,7 @@
 	update.StoreUnreachable = l.c.storeFailedSince > 0
 	update.KeepMissing = l.c.targets.keepMissingFor(now)
 	update.OutstandingLeases = l.grantor.OutstandingLeases(now, outstandingLeasesHorizon)
-	update.ConfigAge = max(now-l.c.configConfirmedAt, 0)
+	update.ConfigAge, update.SentAt = max(now-l.c.configConfirmedAt, 0), now
 	update.StoreAge = max(l.grantor.TermConfirmationAge(now), 0)
 	frame, err := encodeStateUpdate(&update)
 	if err != nil {
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -46,6 +46,23 @@
 	// stateReceived is set when the leader has sent the complete state on the current connection.
 	// Until then its updates only show that it leads. It is confined to the control loop.
 	stateReceived bool
+	// requestedAt is the time at which the follow request was about to be sent on the current
+	// connection, and firstSentAt the SentAt of the first update on it, 0 before. Both are
+	// confined to the control loop.
+	requestedAt, firstSentAt time.Duration
+}
+
+// earliestSentAt returns the earliest time, on the clock of this instance, at which the leader can
+// have made an update: the first one on the connection was made after the follow request was
+// sent. Updates may arrive seconds late if the leader's network link is busy.
+func (l *leaderLink) earliestSentAt(now time.Duration, update *stateUpdate) time.Duration {
+	if update.SentAt == 0 {
+		return now // a leader of an earlier version
+	}
+	if l.firstSentAt == 0 {
+		l.firstSentAt = update.SentAt
+	}
+	return min(l.requestedAt+update.SentAt-l.firstSentAt, now)
 }
 
 // connectToLeader connects to the leader that the ownership record names, and closes the
@@ -102,7 +119,10 @@
 // It returns the error that ended the connection.
 func (c *controlLoop) runLink(ctx context.Context, l *leaderLink, conn net.Conn) error {
 	version := make(chan store.Version, 1)
-	c.post(func() { version <- c.configVersion })
+	c.post(func() {
+		l.requestedAt, l.firstSentAt = socket.BootTime(), 0
+		version <- c.configVersion
+	})
 	request := followRequest{Instance: c.self.ID, Address: c.self.Address, Strength: c.self.Strength, Incarnation: c.self.Incarnation}
 	select {
 	case request.ConfigVersion = <-version:
@@ -220,8 +240,8 @@
 		}
 		c.applyConfig(o)
 	}
-	if l.stateReceived {
-		c.leaderConfigConfirmedAt = max(c.leaderConfigConfirmedAt, now-update.ConfigAge)
+	if sentAt := l.earliestSentAt(now, update); l.stateReceived {
+		c.leaderConfigConfirmedAt = max(c.leaderConfigConfirmedAt, sentAt-update.ConfigAge)
 		c.configConfirmedAt = max(c.configConfirmedAt, c.leaderConfigConfirmedAt)
 	}
 	if update.Targets != nil {
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -89,6 +89,9 @@
 	// ConfigAge is the time since the leader last knew its configuration, which all its
 	// followers with its state have, to be the newest. Leaders of earlier versions leave it out.
 	ConfigAge time.Duration `msgpack:"d,omitempty"`
+	// SentAt is the time of the leader at which the update was made, as a time since its boot.
+	// Followers compare it with that of the first update on the same connection.
+	SentAt time.Duration `msgpack:"z,omitempty"`
 	// StoreUnreachable is set if the leader cannot reach the store.
 	StoreUnreachable bool `msgpack:"l,omitempty"`
 	// KeepMissing is the time for which the leader still keeps targets that the store lacks
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -320,6 +320,19 @@
 		Expect(c.watches).To(BeEmpty())
 	})
 
+	It("takes an update that arrives late for as old as it is", func() {
+		// Guards against an old configuration that counts as the newest, because the heartbeats of a leader queue for seconds
+		// behind the states that it sends to hundreds of followers.
+		now := socket.BootTime()
+		c.link.stateReceived, c.link.requestedAt = true, now-10*time.Second
+		c.applyStateUpdate(c.link, &stateUpdate{SentAt: time.Hour})
+		Expect(c.leaderConfigConfirmedAt).To(Equal(now - 10*time.Second))
+		c.applyStateUpdate(c.link, &stateUpdate{SentAt: time.Hour + 7*time.Second, ConfigAge: time.Second})
+		Expect(c.leaderConfigConfirmedAt).To(Equal(now-4*time.Second), "sent 3 s ago at the earliest, and 1 s old then")
+		c.applyStateUpdate(c.link, &stateUpdate{SentAt: 2 * time.Hour})
+		Expect(c.leaderConfigConfirmedAt).To(BeNumerically("<=", socket.BootTime()), "a clock that jumps")
+	})
+
 	It("goes on with that watch if it waits for the end of an outage of the store", func() {
 		// Guards against a watch that waits for the watch of the ownership record, which has ended, to find that the store
 		// responds again. The model of the configuration in package election found this.
