--- a/review/.trials/deployment.go
+++ b/review/.trials/deployment.go
@@ -47,9 +47,8 @@
 	file   *os.File
 	broken []string
 	runs   map[string][]string // targets that ran a request, by its ID
-	sent   map[string]bool
-	// onRun is called when a target begins a request.
-	onRun func(t *target, id string, key int)
+	// faultsAt is the begin of the first impairment of targets; zero before.
+	faultsAt time.Time
 }
 
 func newDeployment(dir string) (*deployment, error) {
@@ -63,7 +62,7 @@
 	}
 	d := &deployment{
 		dir: dir, temp: temp, trouble: os.Getenv("TROUBLE") != "0", store: newStore(), started: time.Now(),
-		file: f, out: bufio.NewWriter(f), runs: map[string][]string{}, sent: map[string]bool{},
+		file: f, out: bufio.NewWriter(f), runs: map[string][]string{},
 		network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
 	return d, d.store.listen(d.storeAddress())
@@ -89,17 +88,37 @@
 	d.record("target %s runs request %s, key %d, %d bytes of body", t.id, id, key, bytes)
 	d.mu.Lock()
 	d.runs[id] = append(d.runs[id], t.id)
-	f := d.onRun
 	d.mu.Unlock()
-	if f != nil {
-		f(t, id, key)
-	}
+}
+
+// runsOf returns the targets that began the request.
+func (d *deployment) runsOf(id string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs[id]
+}
+
+// faultyFor is the length of an impairment of targets, and faultyEvery the time from one to the next.
+const faultyFor, faultyEvery = 5 * time.Second, 7 * time.Second
+
+// startFaults begins the impairments.
+func (d *deployment) startFaults() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.faultsAt = time.Now()
+}
+
+// isFaulty reports whether there is an impairment of targets now.
+func (d *deployment) isFaulty() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.faultsAt.IsZero() && time.Since(d.faultsAt)%faultyEvery < faultyFor
 }
 
 func stamp(id, answer string) string { return fmt.Sprintf("%x.%x", len(id), len(answer)) }
 
 // workTime is the time for which a request runs.
-const workTime = 20 * time.Millisecond
+const workTime = 50 * time.Millisecond
 
 // addTarget starts a target.
 func (d *deployment) addTarget(id, service string, number int, sharded bool) error {
@@ -269,9 +288,6 @@
 // send sends one request on a connection of its own and returns the answer.
 func (d *deployment) send(e *edge, method, host, path string, key int, budget time.Duration, body string) answer {
 	id := fmt.Sprintf("%016x", rand.Uint64())
-	d.mu.Lock()
-	d.sent[id] = true
-	d.mu.Unlock()
 	d.record("client sends %s %s%s, request %s, key %d, to instance %d", method, host, path, id, key, e.number)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	c := http.Client{Timeout: budget + 500*time.Millisecond, Transport: transport}
--- a/review/.trials/foreign.go
+++ b/review/.trials/foreign.go
@@ -17,10 +17,10 @@
 
 // config is the operator's config with one sharded service and one that is not.
 func config() map[string]any {
-	route := func(name, prefix, kind, service, timeout string, attempts int) map[string]any {
+	route := func(name, prefix, kind, service, timeout, aim string) map[string]any {
 		return map[string]any{
-			"name": name, "path_prefix": prefix, "kind": kind, "timeout": timeout, "target_latency": "200ms", "priority": 1,
-			"service": service, "max_attempts": attempts,
+			"name": name, "path_prefix": prefix, "kind": kind, "timeout": timeout, "target_latency": aim, "priority": 1,
+			"service": service, "max_attempts": 2,
 		}
 	}
 	return map[string]any{
@@ -28,13 +28,15 @@
 		"services": []any{
 			map[string]any{"name": "stock", "health_path": "/health", "max_conns": 120, "protocol": "h1", "tls": false, "sharded": true, "warm": "5s", "grants": "rpc"},
 			map[string]any{"name": "ledger", "health_path": "/health", "max_conns": 120, "protocol": "h1", "tls": false},
+			map[string]any{"name": "packs", "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"hosts": []any{
 			map[string]any{"host": stockHost, "paths": []any{
-				route("stock-look", stockPath, "safe", "stock", "1200ms", 2),
-				route("loan-book", "/loan/", "unsafe", "ledger", "1500ms", 2),
-				route("member-look", "/member/", "safe", "ledger", "1200ms", 2),
+				route("stock-look", stockPath, "safe", "stock", "1200ms", "200ms"),
+				route("loan-book", "/loan/", "unsafe", "ledger", "1500ms", "250ms"),
+				route("member-look", "/member/", "safe", "ledger", "1200ms", "200ms"),
+				route("pack", "/pack/", "download", "packs", "2000ms", "1000ms"),
 			}},
 		},
 	}
--- a/review/.trials/main.go
+++ b/review/.trials/main.go
@@ -19,6 +19,7 @@
 	"restored-first": restoredBeforeFirst,
 	"many-fields":    manyFields,
 	"malformed":      malformedAnswer,
+	"lost-behind":    lostBehind,
 }
 
 func main() { os.Exit(run()) }
--- a/review/.trials/malformed.go
+++ b/review/.trials/malformed.go
@@ -12,15 +12,16 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// faultyTarget is a target that sends, with every fourth answer, bytes that are not a response in HTTP/1.1.
+// faultyTarget is a target that sends, with one answer of twenty, bytes that are not a response in HTTP/1.1.
 type faultyTarget struct {
 	target
 	faults bool
-	mu     sync.Mutex
-	count  int
+	count  *atomic.Int64 // answers of all faulty targets
+	open   atomic.Int64  // requests that run
 }
 
 // startFaulty starts the target on its own connections, as net/http sends only valid responses.
@@ -62,16 +63,15 @@
 			continue
 		}
 		t.d.ranRequest(&t.target, id, -1, 0)
+		load := t.open.Add(1)
 		time.Sleep(t.work)
+		t.open.Add(-1)
 		answer := "answer to " + id
-		t.mu.Lock()
-		t.count++
-		kind := 0
-		if t.faults && t.count%4 == 0 {
-			kind = 1 + t.count/4%2
-		}
-		t.mu.Unlock()
-		common := fmt.Sprintf("X-Boragegate-Request-Id: %s\r\nX-Boragegate-Response-Stamp: %s\r\nX-Boragegate-Server-Load: 1,0,4\r\n", id, stamp(id, answer))
+		n, kind := t.count.Add(1), int64(0)
+		if t.faults && t.d.isFaulty() && n%20 == 0 {
+			kind = 1 + n/20%2
+		}
+		common := fmt.Sprintf("X-Boragegate-Request-Id: %s\r\nX-Boragegate-Response-Stamp: %s\r\nX-Boragegate-Server-Load: %d,0,4\r\n", id, stamp(id, answer), load)
 		switch kind {
 		case 1: // a line of the head has no field name
 			t.d.record("target %s sends bytes that are no response to %s: a line in the head that is no field", t.id, id)
@@ -169,12 +169,18 @@
 
 // malformedAnswer: a faulty target sends bytes that are not a response.
 func malformedAnswer(d *deployment) error {
-	if err := d.addTarget("i-sound", "ledger", 10, false); err != nil {
-		return err
-	}
-	faulty := &faultyTarget{target: target{id: "i-faulty", service: "ledger", address: d.network + ".111:9000", zone: "zone-a", work: workTime, d: d}, faults: d.trouble}
-	if err := faulty.startFaulty(); err != nil {
-		return err
+	var count atomic.Int64
+	for i := range 4 {
+		if err := d.addTarget(fmt.Sprintf("i-sound%d", i), "ledger", 10+i, false); err != nil {
+			return err
+		}
+		faulty := &faultyTarget{
+			target: target{id: fmt.Sprintf("i-faulty%d", i), service: "ledger", address: fmt.Sprintf("%s.%d:9000", d.network, 120+i), zone: "zone-a", work: workTime, d: d},
+			faults: d.trouble, count: &count,
+		}
+		if err := faulty.startFaulty(); err != nil {
+			return err
+		}
 	}
 	if err := d.addTarget("i-stock0", "stock", 0, true); err != nil {
 		return err
@@ -192,13 +198,14 @@
 	if !d.waitReady(15 * time.Second) {
 		return errNotReady
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 13*time.Second)
 	defer cancel()
+	d.startFaults()
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	answered, noResponse, wrongBody := 0, 0, 0
 	for ctx.Err() == nil {
-		time.Sleep(25 * time.Millisecond)
+		time.Sleep(8 * time.Millisecond)
 		group.Add(1)
 		go func() {
 			defer group.Done()
--- a/review/.trials/target.go
+++ b/review/.trials/target.go
@@ -193,6 +193,10 @@
 		return
 	}
 	t.running[key]++
+	load := 0
+	for _, n := range t.running {
+		load += n
+	}
 	t.mu.Unlock()
 	t.ran.Add(1)
 	t.d.ranRequest(t, id, key, len(body))
@@ -211,6 +215,6 @@
 		answer += strings.Repeat("b", 15000)
 	}
 	w.Header().Set("X-Boragegate-Response-Stamp", stamp(id, answer))
-	w.Header().Set("X-Boragegate-Server-Load", "1,0,4")
+	w.Header().Set("X-Boragegate-Server-Load", fmt.Sprintf("%d,%d,4", min(load, 4), max(load-4, 0)))
 	_, _ = io.WriteString(w, answer)
 }
