--- a/review/.trials/fields.go
+++ b/review/.trials/fields.go
@@ -20,9 +20,9 @@
 	// headBytes is the size of a request's head that fills the config's max_header_bytes (16384) without exceeding it.
 	headBytes = 15_500
 	// crowdConnections is the number of connections to each instance.
-	crowdConnections = 150
+	crowdConnections = 400
 	// pipelined is the number of requests that a client sends before the first is answered.
-	pipelined = 12
+	pipelined = 16
 )
 
 // memory returns the resident and the peak memory of the process in KB, 0 if it does not run.
@@ -77,7 +77,7 @@
 		fmt.Fprintf(&b, "X-Field: %s\r\n", strings.Repeat("v", headBytes-b.Len()-13))
 	}
 	for i := 0; many && b.Len() < headBytes-10; i++ {
-		fmt.Fprintf(&b, "f%d:\r\n", i)
+		b.WriteString(strconv.FormatInt(int64(36+i), 36) + ":\r\n")
 	}
 	return b.String() + "\r\n"
 }
