Ask a target for its keys although another entry has its address

What callers saw: an entry of another writer, for a service that no configuration names, with the address of a target that held keys.

Cause: of the entries with one address the one with the latest start counted, whatever its service, and the grantor took a later lifetime that is listed at an address for proof that the earlier one has ended. So it neither asked for a release nor waited for the leases. Evidence: the log has keys.moved reason=ended for a target that is up.

Change: an entry for a service that the configuration does not name never counts instead of another one with its address. A lifetime listed at the address of another one only stops grants to that one; the process at the address is asked to release the keys by the name of the earlier target. It releases them, or refuses with 421, which proves that the earlier one has ended; without an answer its leases have to expire.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -24,6 +24,9 @@
 	c.configVersion, c.configEra, c.configObject = obj.Version, era, obj
 	c.shared.config.Store(config)
 	c.setWarmUpRates(socket.BootTime(), config)
+	if c.targets.setServices(config.Services) {
+		c.activateLiveTargets(socket.BootTime())
+	}
 	c.log.Info().Str("event", "config.in_force").Uint64("config_version", config.Version).
 		Uint64("store_version", uint64(obj.Version)).Int("routes", config.RouteCount()).Send()
 	if c.leadership != nil {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -312,7 +312,14 @@
 	if change.isEmpty() {
 		return
 	}
+	c.logTargetChange(change)
+	c.activateLiveTargets(now)
+}
+
+// activateLiveTargets activates the changes of the live targets since its last call.
+func (c *controlLoop) activateLiveTargets(now time.Duration) {
 	changed, ended := c.targets.takeChanges()
+	c.logReplacedTargets(ended)
 	c.shared.update(func(b *dispatch.Balancer) {
 		b.ChangeTargets(now, c.evacuations.schedule.WithoutRequests(changed), ended)
 		for i := range changed { // a target that was registered again is still leaving
@@ -324,7 +331,6 @@
 	c.client.RemoveTargets(ended)
 	c.shared.dropRateLimits(ended)
 	c.metrics.targets.Update(int64(len(c.targets.live)))
-	c.logTargetChange(change)
 	if c.leadership != nil {
 		c.leadership.applyTargetChange(now, changed, ended)
 	}
@@ -366,6 +372,18 @@
 	}
 }
 
+// logReplacedTargets logs the targets that are not used any more, although their entries exist, because another entry has
+// their address.
+func (c *controlLoop) logReplacedTargets(ended []routing.Lifetime) {
+	for _, id := range ended {
+		t := c.targets.byName[id.ID]
+		if by := c.targets.live[t.Address]; t.Lifetime() == id && by.ID != id.ID {
+			c.log.Info().Str("event", "target.replaced").Str("target", id.ID).Str("service", t.Service).Str("address", t.Address).
+				Str("by", by.ID).Str("by_service", by.Service).Int64("by_incarnation", by.Incarnation).Send()
+		}
+	}
+}
+
 // applyOwners activates changed holders of keys, by service.
 func (c *controlLoop) applyOwners(changed map[string][]routing.Owner) {
 	for service, owners := range changed {
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -33,8 +33,10 @@
 	// While another instance leads and reaches the store, it is that instance's.
 	keepMissingUntil time.Duration
 
-	// byAddress has the names of the entries by address. Only the one with the highest
-	// incarnation is live; live has it, also by address. changedAddresses has the addresses
+	// services are the services that the configuration names, nil until one is known.
+	services map[string]routing.Service
+	// byAddress has the names of the entries by address. Only one of them is live, see
+	// supersedes; live has it, also by address. changedAddresses has the addresses
 	// whose entries have changed since the last call of takeChanges.
 	byAddress        map[string][]string
 	live             map[string]routing.Target
@@ -111,18 +113,48 @@
 	return changed, ended
 }
 
-// liveAt returns the entry of an address with the highest incarnation, which is the live
-// one. ok is false if the address has no entry.
+// setServices sets the services that the configuration names. It reports whether other entries
+// are live because of that.
+func (l *targetList) setServices(services map[string]routing.Service) (changed bool) {
+	l.services = services
+	for address, names := range l.byAddress {
+		if len(names) == 1 {
+			continue
+		}
+		before := l.live[address]
+		if after, _ := l.liveAt(address); after.Lifetime() != before.Lifetime() {
+			l.changedAddresses[address], changed = true, true
+		}
+	}
+	return changed
+}
+
+// liveAt returns the live entry of an address. ok is false if the address has no entry.
 func (l *targetList) liveAt(address string) (best routing.Target, ok bool) {
 	for _, name := range l.byAddress[address] {
 		t := l.byName[name]
-		if !ok || t.Incarnation > best.Incarnation || t.Incarnation == best.Incarnation && t.ID > best.ID {
+		if !ok || l.supersedes(&t, &best) {
 			best, ok = t, true
 		}
 	}
 	return best, ok
 }
 
+// supersedes reports whether an entry counts instead of another one with the same address: it is
+// that of a later lifetime. An entry for a service that the configuration does not name has another
+// writer than a target, so it says nothing about the target at its address.
+func (l *targetList) supersedes(t, other *routing.Target) bool {
+	if named := l.isServiceNamed(t.Service); named != l.isServiceNamed(other.Service) {
+		return named
+	}
+	return t.Incarnation > other.Incarnation || t.Incarnation == other.Incarnation && t.ID > other.ID
+}
+
+func (l *targetList) isServiceNamed(service string) bool {
+	_, named := l.services[service]
+	return named || l.services == nil
+}
+
 // isKnown reports whether a list was read, also one of an earlier era of the store.
 func (l *targetList) isKnown() bool { return l.version > 0 || len(l.byName) > 0 }
 
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -36,6 +36,28 @@
 		Expect(l.liveTargets()).To(HaveLen(1))
 	})
 
+	It("uses no entry for a service that the configuration does not name instead of the target at its address", func() {
+		// Guards against a target that gets no requests and loses its keys: an entry of another writer had its address and a
+		// later start.
+		l.setServices(map[string]routing.Service{"": {}})
+		l.takeChanges()
+		foreign := routing.Target{ID: "copy", Address: "a", Incarnation: 2, Service: "no-such-service"}
+		l.apply(0, &targetUpdate{Version: 2, Put: map[string]routing.Target{"copy": foreign}})
+		changed, ended := l.takeChanges()
+		Expect(changed).To(BeEmpty())
+		Expect(ended).To(BeEmpty())
+
+		Expect(l.setServices(map[string]routing.Service{"": {}, "no-such-service": {}})).To(BeTrue())
+		changed, ended = l.takeChanges()
+		Expect(changed).To(ConsistOf(foreign))
+		Expect(ended).To(ConsistOf(routing.Lifetime{ID: "a", Incarnation: 1}))
+
+		Expect(l.setServices(map[string]routing.Service{"": {}})).To(BeTrue())
+		changed, ended = l.takeChanges()
+		Expect(changed).To(ConsistOf(HaveField("ID", "a")))
+		Expect(ended).To(ConsistOf(foreign.Lifetime()))
+	})
+
 	It("reports an entry that is written again with the same time of warm-up as changed", func() {
 		// Guards against a target that turns cold again for as long as the last time and gets its full load, and against
 		// a list that is only read again and limits targets that are warm by now.
--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -81,8 +81,12 @@
 	routing.Target
 	// listed is true while the target is in the list of targets.
 	listed bool
-	// ended is true if the lifetime has ended: another one has taken its ID or address.
+	// ended is true if the lifetime is known to have ended: a later one has its ID, or another target has answered at
+	// its address.
 	ended bool
+	// addressClaimed is true if a later lifetime is listed at its address. Anybody may have written that entry, so it
+	// does not prove that the lifetime has ended: the process at the address has to be asked.
+	addressClaimed bool
 	// called is true if the target was called at least once.
 	called bool
 	// unansweredSince is the start of the time without an answer: the last answer or, if it
@@ -311,17 +315,15 @@
 			removeFromIndex(g.targetsByAddress, state.Address, state)
 			g.targetsByAddress[t.Address] = append(g.targetsByAddress[t.Address], state)
 		}
-		state.Target, state.ended = *t, false
+		state.Target, state.ended, state.addressClaimed = *t, false, false
 		g.setListed(state, true)
 	}
 	for i := range updated {
-		g.markReplacedAsEnded(g.targetsByID[updated[i].ID])
-		g.markReplacedAsEnded(g.targetsByAddress[updated[i].Address])
+		g.markReplaced(updated[i].ID, updated[i].Address)
 	}
 	for _, id := range removed {
 		if state := g.targets[id]; state != nil {
-			g.markReplacedAsEnded(g.targetsByID[state.ID])
-			g.markReplacedAsEnded(g.targetsByAddress[state.Address])
+			g.markReplaced(state.ID, state.Address)
 		}
 	}
 }
@@ -337,20 +339,31 @@
 	state.listed = listed
 }
 
-// markReplacedAsEnded marks the targets of a group that are not listed as ended if a later
-// lifetime in the group is listed. The targets of a group share an ID or an address.
-func (g *Grantor) markReplacedAsEnded(group []*targetState) {
+// markReplaced marks the targets that are not listed and whose ID or address belongs to a later listed lifetime.
+func (g *Grantor) markReplaced(id, address string) {
+	for _, state := range replacedTargets(g.targetsByID[id]) {
+		state.ended = true
+	}
+	for _, state := range replacedTargets(g.targetsByAddress[address]) {
+		state.addressClaimed = true
+	}
+}
+
+// replacedTargets returns the targets of a group that are not listed, if a later lifetime of the group is listed.
+func replacedTargets(group []*targetState) []*targetState {
 	newestIncarnation := int64(0)
 	for _, state := range group {
 		if state.listed {
 			newestIncarnation = max(newestIncarnation, state.Incarnation)
 		}
 	}
+	var replaced []*targetState
 	for _, state := range group {
 		if !state.listed && state.Incarnation < newestIncarnation {
-			state.ended = true
+			replaced = append(replaced, state)
 		}
 	}
+	return replaced
 }
 
 func removeFromIndex(index map[string][]*targetState, key string, state *targetState) {
@@ -388,6 +401,12 @@
 	return slices.ContainsFunc(g.targetsByID[id.ID], func(state *targetState) bool { return state.Incarnation > id.Incarnation })
 }
 
+// isReplaced reports whether the lifetime has ended or a later one is listed at its address.
+func (g *Grantor) isReplaced(id routing.Lifetime) bool {
+	state := g.targets[id]
+	return g.hasEnded(id) || state != nil && state.addressClaimed
+}
+
 // possibleHolder returns the lifetime, other than next, that may still hold the keys of
 // holder when they are moved to next. Usually this is holder itself. If holder has ended, it
 // is a later lifetime with the same ID: the server has restarted, and until the new lifetime
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -1,6 +1,7 @@
 package rangelease_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -164,6 +165,36 @@
 		})
 	})
 
+	It("moves the keys of a server that has started again under another name at its address at once", func() {
+		// Guards against waiting for the lease of a server whose address another one has answered at.
+		runScenario(func(sim *simulation) {
+			sim.replaceAtAddress(sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}], "t9")
+			sim.run(100 * time.Millisecond)
+			Expect(sim.servedEighths()).To(Equal(8))
+		})
+	})
+
+	It("asks a server to release its keys although another one is listed at its address", func() {
+		// Guards against two holders: an entry of another writer had the address of a server that held keys, and these were
+		// granted to others at once, as if the server had ended.
+		runScenario(func(sim *simulation) {
+			sim.addClaim(sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}], "copy")
+			sim.run(200 * time.Millisecond)
+			Expect(sim.servedEighths()).To(Equal(8))
+			Expect(sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}].leaseEnd).To(HaveEach(BeZero()))
+		})
+	})
+
+	It("waits for the lease of a server that does not answer while another one is listed at its address", func() {
+		// Guards against two holders: the entry at its address is taken for its end, and it is cut off from the grantor.
+		runScenario(func(sim *simulation) {
+			sim.instances[0].unreachable["t1"] = true
+			sim.addClaim(sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}], "copy")
+			sim.run(5 * time.Second)
+			Expect(sim.servedEighths()).To(Equal(8))
+		})
+	})
+
 	It("releases the keys that a restarted server was granted under its old lifetime", func() {
 		// Guards against two holders: renewals that are meant for the old lifetime reach the
 		// new one until it is listed. On a deployment, the same happened with another target
@@ -316,7 +347,11 @@
 	if len(ids) > 0 {
 		v = sim.servers[ids[rapid.IntRange(0, len(ids)-1).Draw(sim.t, "server")]]
 	}
-	switch kind := rapid.IntRange(0, 10).Draw(sim.t, "fault"); {
+	switch kind := rapid.IntRange(0, 12).Draw(sim.t, "fault"); {
+	case kind == 11 && v != nil && v.Address == v.ID:
+		sim.addClaim(v, fmt.Sprintf("claim%d", len(sim.servers)))
+	case kind == 12 && v != nil && v.Address == v.ID:
+		sim.replaceAtAddress(v, fmt.Sprintf("s%d", len(sim.servers)))
 	case kind <= 1:
 		sim.takeOver(in)
 	case kind == 2:
--- a/ownership/rangelease/simulation_test.go
+++ b/ownership/rangelease/simulation_test.go
@@ -97,6 +97,8 @@
 	instances []*simInstance
 	servers   map[routing.Lifetime]*simServer
 	listed    map[routing.Lifetime]bool
+	// occupants are the servers that have taken the address of another one, by address.
+	occupants map[string]*simServer
 	events    []scheduledEvent
 	// listDelay is the delay with which instances learn of a change of the list of targets.
 	listDelay time.Duration
@@ -266,11 +268,14 @@
 	delayed := sim.unansweredPercent > 0 && rapid.IntRange(0, 99).Draw(sim.t, "delayed") < sim.unansweredPercent
 	v := sim.serverFor(to)
 	sim.schedule(2*time.Millisecond, func() {
+		if v != nil && !v.up && sim.occupants[v.Address] != nil {
+			v = sim.occupants[v.Address]
+		}
 		if lost || v == nil || !v.up || delayed {
 			arrived := sim.now // a delayed call arrives now but is carried out later; its lease runs from now on
 			if delayed && !lost && v != nil {
 				sim.schedule(time.Duration(rapid.IntRange(2000, 12000).Draw(sim.t, "delay"))*time.Millisecond, func() {
-					if v.up {
+					if v.up && v.ID == to.ID {
 						do(v, arrived)
 						sim.checkExclusive()
 					}
@@ -279,7 +284,10 @@
 			sim.schedule(rangelease.DefaultOptions.CallTimeout, func() { sim.deliverResult(in, g, to, call, rangelease.Unanswered, "") })
 			return
 		}
-		outcome := do(v, sim.now)
+		outcome := rangelease.Ended
+		if sim.occupants[v.Address] == nil || sim.occupants[v.Address].ID == to.ID {
+			outcome = do(v, sim.now)
+		}
 		sim.checkExclusive()
 		sim.schedule(2*time.Millisecond, func() { sim.deliverResult(in, g, to, call, outcome, "token") })
 	})
@@ -351,7 +359,7 @@
 }
 
 func newSimulation(t *rapid.T, servers int) *simulation {
-	sim := &simulation{t: t, now: time.Second, maxCalls: math.MaxInt, servers: map[routing.Lifetime]*simServer{}, listed: map[routing.Lifetime]bool{}}
+	sim := &simulation{t: t, now: time.Second, maxCalls: math.MaxInt, servers: map[routing.Lifetime]*simServer{}, listed: map[routing.Lifetime]bool{}, occupants: map[string]*simServer{}}
 	for i := range servers {
 		sim.addServer(fmt.Sprintf("t%d", i), 1)
 	}
@@ -362,7 +370,27 @@
 }
 
 func (sim *simulation) addServer(id string, incarnation int64) *simServer {
-	t := routing.Target{ID: id, Incarnation: incarnation, Service: service, Address: id, Slots: 1}
+	return sim.addServerAt(id, incarnation, id)
+}
+
+// replaceAtAddress ends a server. Another one starts at its address and is listed in its place.
+func (sim *simulation) replaceAtAddress(old *simServer, id string) *simServer {
+	old.up = false
+	sim.listed[old.Lifetime()] = false
+	v := sim.addServerAt(id, old.Incarnation+1, old.Address)
+	sim.occupants[v.Address] = v
+	return v
+}
+
+// addClaim lists a later lifetime at the address of a server, which goes on running, in its place.
+func (sim *simulation) addClaim(of *simServer, id string) {
+	sim.listed[of.Lifetime()] = false
+	v := sim.addServerAt(id, of.Incarnation+1, of.Address)
+	v.Service, v.up = "another service", false
+}
+
+func (sim *simulation) addServerAt(id string, incarnation int64, address string) *simServer {
+	t := routing.Target{ID: id, Incarnation: incarnation, Service: service, Address: address, Slots: 1}
 	v := &simServer{Target: t, up: true, clockRate: 0.98}
 	sim.servers[t.Lifetime()] = v
 	if sim.listDelay == 0 {
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -83,7 +83,7 @@
 	}
 	state := g.targets[s.holder]
 	switch {
-	case state == nil || state.ended:
+	case state == nil || g.isReplaced(s.holder):
 		return false
 	case s.plannedHolder != (routing.Lifetime{}) && s.latestExpiry == 0:
 		return false // a holder that cannot have a lease yet gets none if a move of the span is planned
@@ -181,7 +181,7 @@
 	}
 	sent := 0
 	for id, state := range g.suspected {
-		if state.probeCall != 0 || now < state.nextProbeAt || state.ended {
+		if state.probeCall != 0 || now < state.nextProbeAt || g.isReplaced(id) {
 			continue
 		}
 		key, ok := g.keyNotHeldBy(state.Service, id)
@@ -227,7 +227,7 @@
 		return nil
 	}
 	g.applyCallResult(now, s, outcome, handover)
-	if outcome == Done && !g.isSendingSuspended(now) {
+	if (outcome == Done || outcome == Ended) && !g.isSendingSuspended(now) {
 		g.advanceSpan(now, s, false)
 	}
 	return g.actions
@@ -250,12 +250,24 @@
 	}
 }
 
+// markEnded records that another lifetime has answered a call to a target.
+func (g *Grantor) markEnded(id routing.Lifetime) {
+	if state := g.targets[id]; state != nil {
+		state.ended = true
+	}
+}
+
 func (g *Grantor) applyCallResult(now lease.Instant, s *leasedSpan, outcome Outcome, handover string) {
 	s.outstandingCall = 0
 	if s.isMoving() {
-		if outcome == Done {
+		switch outcome {
+		case Done:
 			g.finishRelease(now, s, handover)
-		} else {
+		case Ended:
+			g.markEnded(s.previous)
+			s.nextCallAt = now // another lifetime with its ID may have to be asked
+			g.checkPrevious(now, s)
+		default:
 			s.nextCallAt = now + g.options.RetryInterval
 		}
 		return
@@ -270,9 +282,7 @@
 		s.confirmedUntil, s.handover = s.callSentAt+s.callLeaseDuration, ""
 		s.nextCallAt = s.callSentAt + g.renewInterval(s.service)
 	case Ended:
-		if state := g.targets[s.holder]; state != nil {
-			state.ended = true
-		}
+		g.markEnded(s.holder)
 		s.nextCallAt = now + g.options.RetryInterval
 	case Fenced:
 		// This grantor's own earlier calls for the span have lower tokens, so the token
@@ -355,7 +365,7 @@
 	switch {
 	case holder == (routing.Lifetime{}):
 		return "first"
-	case g.hasEnded(holder):
+	case g.isReplaced(holder):
 		return "ended"
 	case state == nil || !state.listed:
 		return "gone"
@@ -407,7 +417,7 @@
 			o.Ready, o.ReadyIn = false, handoverEstimate
 		case s.isMoving():
 			o.Ready, o.ReadyIn = false, max(s.previousLatestExpiry-now, 0)+handoverEstimate
-		case g.hasEnded(s.holder):
+		case g.isReplaced(s.holder):
 			o.Ready, o.ReadyIn = false, handoverEstimate
 		case s.confirmedUntil == 0 && !s.inherited:
 			o.Ready, o.ReadyIn = false, handoverEstimate
