Wait for earlier leases if a restored store lacks the ownership record

What callers saw: the store came back from a copy that was older than the first ownership record, and all instances were killed.

Cause: a record of an earlier era made a successor wait, but no record at all counted as a first start, although the era of the store said that writes were lost. A service that a restored record lacks had the same fault, also at the next successor.

Change: a takeover in a store of era 1 or later that has no record of that era counts the holders as unknown. The record keeps that mark until the leases have expired, for all services that it lacks. Callers are told the time that is left. A store that was never restored has era 0, so a first start and a loss of power there are as before.

--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -237,14 +237,14 @@
 			return nil
 		})
 	}
-	fromRestored := c.recordRestored
+	fromRestored := c.isRecordOutdated()
 	c.record, c.recordVersion, c.recordRestored, c.term = r, version, false, r.Term
 	if c.link != nil {
 		c.link.cancel()
 		c.link = nil
 	}
 	c.elector.ClearSuspicion()
-	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Send()
+	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Bool("holders_unknown", r.HoldersUnknown).Send()
 	c.isLeader.Store(true)
 	c.leadership = newLeadership(c, sentAt, r, version, predecessor)
 	if replaced.Address != "" { // it is told again until it follows, because it may be too busy to accept a connection now
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -92,9 +92,15 @@
 	c.followLeader(r)
 }
 
+// isRecordOutdated reports whether the store may lack the newest ownership record: it has one of an
+// earlier era or, although it was restored, none.
+func (c *controlLoop) isRecordOutdated() bool {
+	return c.recordRestored || c.era > 0 && c.recordVersion == 0
+}
+
 // recordForTakeover returns the record by which this instance takes over. If the stored record is
-// of an earlier era, it is not known who holds the keys; the last known holders are to get them,
-// because they have served them.
+// of an earlier era, or may be lost, it is not known who holds the keys; the last known holders are
+// to get them, because they have served them.
 func (c *controlLoop) recordForTakeover() *rangelease.Record {
 	next := &rangelease.Record{Services: map[string][]rangelease.Entry{}}
 	if c.record != nil {
@@ -103,7 +109,7 @@
 	}
 	next.Term = max(next.Term+1, c.term+1, rangelease.FirstTerm(c.era))
 	next.Leader = c.self
-	if c.recordRestored {
+	if c.isRecordOutdated() {
 		services := map[string][]rangelease.Entry{}
 		for name, entries := range next.Services {
 			services[name] = slices.Clone(entries)
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -203,6 +203,19 @@
 		Expect(c.record.Services["s"][0].Previous).To(BeNil(), "the record as read is not changed")
 	})
 
+	DescribeTable("takes over without a record",
+		// Guards against two holders of keys that were assigned in a record which the restored store lacks, and against a first
+		// start that waits for leases which nobody can have.
+		func(era store.Era, leader *rangelease.Record, unknown bool) {
+			c.record, c.recordVersion, c.era, c.eraKnown = leader, 0, era, true
+			c.applyOwnershipObjects(0, nil)
+			Expect(c.recordForTakeover().HoldersUnknown).To(Equal(unknown))
+		},
+		Entry("in a store that was never restored", store.Era(0), nil, false),
+		Entry("in a store that was restored before this instance started", store.Era(1), nil, true),
+		Entry("in a restored store, with a leader that others have named", store.Era(1), &rangelease.Record{Term: 3}, true),
+	)
+
 	DescribeTable("keeps the newest version of the operator's configuration in force",
 		// Guards against an older configuration from the copy, and against one that is ignored because its store version is
 		// lower than before the restore.
--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -136,6 +136,9 @@
 	outageLeasesExpiry     lease.Instant // when all leases with OutageLeaseDuration have expired
 	// earlierLeasesExpiry is the time at which all leases of earlier grantors have expired.
 	earlierLeasesExpiry lease.Instant
+	// holdersUnknownUntil is the time until which any target may hold keys of a service that has
+	// no spans yet; 0 if none can.
+	holdersUnknownUntil lease.Instant
 	actions             []Action
 	hasDueCalls         bool // see HasDueCalls
 	nextProbesAt        lease.Instant
@@ -178,9 +181,12 @@
 	if predecessor.Ended {
 		inherited = min(inherited, now+max(predecessor.Leases.Earlier, options.CallTimeout+g.grantorLeaseDuration(predecessor.Leases.Hold)))
 	}
-	if len(r.Services) > 0 {
+	if len(r.Services) > 0 || r.HoldersUnknown {
 		g.earlierLeasesExpiry = inherited
 	}
+	if r.HoldersUnknown {
+		g.holdersUnknownUntil = inherited
+	}
 	for name, entries := range r.Services {
 		for _, e := range entries {
 			s := &leasedSpan{Span: e.Span, service: name, holder: e.Holder, latestExpiry: inherited, inherited: true, nextCallAt: now, reason: e.Reason, term: e.Term}
@@ -257,7 +263,7 @@
 	}
 	for _, name := range names {
 		if g.spans[name] == nil {
-			g.spans[name] = []*leasedSpan{{Span: routing.Span{To: routing.KeyCount - 1}, service: name}}
+			g.spans[name] = []*leasedSpan{g.unassignedSpan(name)}
 		}
 	}
 }
@@ -509,7 +515,7 @@
 // buildRecord returns the record to store, in which the planned holders of the moves that are
 // being written are the holders.
 func (g *Grantor) buildRecord(now lease.Instant) *Record {
-	r := &Record{Term: g.term, Leader: g.leader, Candidates: g.candidates, InstanceCount: g.instanceCount, Profiles: g.profiles, Services: map[string][]Entry{}}
+	r := &Record{Term: g.term, Leader: g.leader, Candidates: g.candidates, InstanceCount: g.instanceCount, Profiles: g.profiles, HoldersUnknown: now < g.holdersUnknownUntil, Services: map[string][]Entry{}}
 	for name, spans := range g.spans {
 		for _, s := range spans {
 			e := Entry{Span: s.Span, Holder: s.holder, Reason: s.reason, Term: s.term}
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -53,9 +53,12 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			sim := newSimulation(t, 4)
 			sim.maxCalls = rapid.IntRange(1, 8).Draw(t, "max calls")
+			sim.copyStore()
 			sim.takeOver(sim.instances[0])
 			sim.run(500 * time.Millisecond)
-			sim.copyStore()
+			if rapid.Bool().Draw(t, "copy has a record") {
+				sim.copyStore()
+			}
 			for range rapid.IntRange(1, 12).Draw(t, "faults") {
 				switch rapid.IntRange(0, 5).Draw(t, "store") {
 				case 0:
@@ -105,6 +108,36 @@
 		})
 	})
 
+	It("serves the keys when the leases have expired after the restored store lacked the record, also after another loss", func() {
+		// Guards against two holders: a copy from before the first record was taken for a deployment in which nobody holds keys,
+		// by the grantor that found no record or by the next one, which found a record without the service.
+		sim := newSimulation(nil, 3)
+		sim.copyStore()
+		sim.takeOver(sim.instances[0])
+		sim.run(time.Second)
+		sim.addServer("t9", 1) // the keys would be divided otherwise now
+		sim.restoreStore()
+		sim.endAndReplaceGrantor()
+		sim.run(100 * time.Millisecond)
+		sim.endAndReplaceGrantor()
+		sim.run(4 * time.Second)
+		Expect(sim.servedEighths()).To(Equal(8))
+		sim.run(2 * time.Second)
+		Expect(sim.record.HoldersUnknown).To(BeFalse())
+	})
+
+	It("names the time after which keys of a lost record are served", func() {
+		// Guards against callers that are told to come back at once for 20 s.
+		r := &rangelease.Record{Term: rangelease.FirstTerm(1)}
+		r.MarkHoldersUnknown()
+		g := rangelease.New(rangelease.DefaultOptions, 0, 0, r, rangelease.Predecessor{})
+		g.SetServices([]string{service})
+		owners := g.Owners(0, service)
+		Expect(owners).To(HaveLen(1))
+		Expect(owners[0].Ready).To(BeFalse())
+		Expect(owners[0].ReadyIn).To(BeNumerically(">", rangelease.DefaultOptions.TermConfirmationTimeout+rangelease.DefaultOptions.OutageLeaseDuration))
+	})
+
 	It("assigns all keys to the servers at the start", func() {
 		// Guards against keys without a holder in a new deployment.
 		runScenario(func(sim *simulation) { Expect(sim.servedEighths()).To(Equal(8)) })
--- a/ownership/rangelease/record.go
+++ b/ownership/rangelease/record.go
@@ -105,6 +105,9 @@
 	InstanceCount int            `json:"instances,omitempty"`
 	// Profiles has what instances have measured of the requests for each service, for instances that start.
 	Profiles map[string]routing.ServiceProfile `json:"profiles,omitempty"`
+	// HoldersUnknown is set while any target may hold keys of a service that Services lacks: a
+	// record that had it may have been lost (see MarkHoldersUnknown).
+	HoldersUnknown bool `json:"holders_unknown,omitempty"`
 	// Services holds the spans of each partitioned service in order, without gaps or
 	// overlaps.
 	Services map[string][]Entry `json:"services"`
--- a/ownership/rangelease/restore.go
+++ b/ownership/rangelease/restore.go
@@ -14,8 +14,9 @@
 //   - A grantor that learns of a later era knows the holders better than the record does. It
 //     suspends moves and goes on renewing leases, which its successor has to expect in any case,
 //     until it has replaced the restored record by its own under a term of the new era.
-//   - A successor that finds a record of an earlier era does not know who holds the keys. It grants
-//     them when all leases of earlier grantors have expired.
+//   - A successor that finds a record of an earlier era, or none although there was a restore, does not
+//     know who holds the keys, also of services that the record lacks. It grants them when all leases of
+//     earlier grantors have expired.
 
 // eraShift is the position of the era in a term. 65,536 terms per era and 8,191 eras fit below
 // maxTerm.
@@ -29,9 +30,11 @@
 var unknownTarget = routing.Lifetime{Incarnation: -1}
 
 // MarkHoldersUnknown marks that any target may hold the keys, because they may have been moved
-// since the record was written. A grantor waits until the leases of earlier grantors have expired
-// before it grants the keys to the holders in the record.
+// since the record was written, or assigned if it does not have their service. A grantor waits until
+// the leases of earlier grantors have expired before it grants the keys to the holders in the record,
+// or to anybody.
 func (r *Record) MarkHoldersUnknown() {
+	r.HoldersUnknown = true
 	for _, entries := range r.Services {
 		for i := range entries {
 			entries[i].Previous = &unknownTarget
@@ -39,6 +42,26 @@
 	}
 }
 
+// unassignedSpan returns the span of a service that the grantor has no spans of.
+func (g *Grantor) unassignedSpan(service string) *leasedSpan {
+	s := &leasedSpan{Span: routing.Span{To: routing.KeyCount - 1}, service: service}
+	if g.holdersUnknownUntil > 0 {
+		s.previous, s.previousLatestExpiry = unknownTarget, g.holdersUnknownUntil
+	}
+	return s
+}
+
+// endUnknownHolders removes the mark of the record when the leases of unknown holders have expired.
+func (g *Grantor) endUnknownHolders(now lease.Instant) {
+	if g.holdersUnknownUntil == 0 || now < g.holdersUnknownUntil {
+		return
+	}
+	g.holdersUnknownUntil = 0
+	if g.deferredWriteSince == 0 {
+		g.deferredWriteSince = now
+	}
+}
+
 // SuspendMoves is called when the store is found to have been restored from an older copy. Until
 // BeginTerm is called, the grantor writes no record and only renews leases.
 func (g *Grantor) SuspendMoves() {
--- a/ownership/rangelease/simulation_test.go
+++ b/ownership/rangelease/simulation_test.go
@@ -148,15 +148,19 @@
 	if in.storeUnreachable || in.frozen {
 		return
 	}
-	r := &rangelease.Record{Term: 1, Services: map[string][]rangelease.Entry{}}
+	r := &rangelease.Record{Services: map[string][]rangelease.Entry{}}
 	if sim.record != nil {
 		b, _ := sim.record.Encode()
 		r, _ = rangelease.DecodeRecord(b)
-		if r.Term < rangelease.FirstTerm(sim.era) {
+		r.Term++
+	}
+	if first := rangelease.FirstTerm(sim.era); r.Term <= first { // of an earlier era, or there is none
+		r.Term = first
+		if sim.era > 0 {
 			r.MarkHoldersUnknown()
 		}
-		r.Term = max(r.Term+1, rangelease.FirstTerm(sim.era))
 	}
+	r.Term = max(r.Term, 1)
 	r.Leader = rangelease.InstanceInfo{ID: in.name}
 	sim.record = r
 	sim.version++
@@ -375,8 +379,11 @@
 
 // replaceAtAddress ends a server. Another one starts at its address and is listed in its place.
 func (sim *simulation) replaceAtAddress(old *simServer, id string) *simServer {
-	old.up = false
-	sim.listed[old.Lifetime()] = false
+	for _, v := range sim.servers {
+		if v.Address == old.Address {
+			v.up, sim.listed[v.Lifetime()] = false, false
+		}
+	}
 	v := sim.addServerAt(id, old.Incarnation+1, old.Address)
 	sim.occupants[v.Address] = v
 	return v
@@ -391,6 +398,10 @@
 
 func (sim *simulation) addServerAt(id string, incarnation int64, address string) *simServer {
 	t := routing.Target{ID: id, Incarnation: incarnation, Service: service, Address: address, Slots: 1}
+	if occupant := sim.occupants[address]; occupant != nil {
+		occupant.up = false
+		delete(sim.occupants, address)
+	}
 	v := &simServer{Target: t, up: true, clockRate: 0.98}
 	sim.servers[t.Lifetime()] = v
 	if sim.listDelay == 0 {
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -46,6 +46,7 @@
 		g.mergeSpans(service)
 	}
 	g.probeSuspected(now)
+	g.endUnknownHolders(now)
 	g.writeIfDue(now)
 	return g.actions
 }
@@ -411,7 +412,7 @@
 		o := routing.Owner{Span: s.Span, Holder: s.holder, Ready: true}
 		state := g.targets[s.holder]
 		switch {
-		case s.holder == (routing.Lifetime{}):
+		case s.holder == (routing.Lifetime{}) && !s.isMoving():
 			o.Ready, o.ReadyIn = false, handoverEstimate
 		case s.isMoving() && g.isReachable(now, s.previous):
 			o.Ready, o.ReadyIn = false, handoverEstimate
