Keep the leases of a service that the configuration gives up

Found on related paths of the lost ownership record; not seen on a deployment.

Cause: the grantor dropped the spans of the service at once, and the next record lacked them, so a service that was named again counted as one whose keys nobody holds.

Change: the spans are kept, also in the record, until the last lease has expired. They get no grants meanwhile. A service that is named again before that has its holders.

--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -112,7 +112,10 @@
 	tokensIssued uint64 // fencing tokens issued in this term
 	callsIssued  uint64 // number of calls, which is also the number of the last one
 
-	spans   map[string][]*leasedSpan
+	spans map[string][]*leasedSpan
+	// withdrawnServices are the services in spans that are no longer partitioned.
+	withdrawnServices map[string]bool
+
 	targets map[routing.Lifetime]*targetState
 	// targetsByID and targetsByAddress hold the targets that share an ID or an address.
 	targetsByID, targetsByAddress map[string][]*targetState
@@ -173,7 +176,7 @@
 func New(options Options, sent, now lease.Instant, r *Record, predecessor Predecessor) *Grantor {
 	g := &Grantor{
 		options: options, term: r.Term, leader: r.Leader, candidates: r.Candidates, instanceCount: r.InstanceCount,
-		spans: map[string][]*leasedSpan{}, targets: map[routing.Lifetime]*targetState{}, termConfirmedAt: sent,
+		spans: map[string][]*leasedSpan{}, withdrawnServices: map[string]bool{}, targets: map[routing.Lifetime]*targetState{}, termConfirmedAt: sent,
 		targetsByID: map[string][]*targetState{}, targetsByAddress: map[string][]*targetState{},
 		suspected: map[routing.Lifetime]*targetState{}, spansByCall: map[uint64]*leasedSpan{},
 	}
@@ -253,21 +256,36 @@
 	g.termConfirmedAt = max(g.termConfirmedAt, sent)
 }
 
-// SetServices sets the names of the partitioned services. The spans of other services are
-// dropped, and their leases expire.
+// SetServices sets the names of the partitioned services. The leases of other services are not
+// renewed. Their spans are kept until these have expired: a service that is named again before then
+// still has holders.
 func (g *Grantor) SetServices(names []string) {
 	for name := range g.spans {
 		if !slices.Contains(names, name) {
-			delete(g.spans, name)
+			g.withdrawnServices[name] = true
 		}
 	}
 	for _, name := range names {
+		delete(g.withdrawnServices, name)
 		if g.spans[name] == nil {
 			g.spans[name] = []*leasedSpan{g.unassignedSpan(name)}
 		}
 	}
 }
 
+// dropWithdrawnServices drops the spans of withdrawn services whose leases have expired.
+func (g *Grantor) dropWithdrawnServices(now lease.Instant) {
+	for name := range g.withdrawnServices {
+		mayBeLeased := func(s *leasedSpan) bool { return now < s.latestExpiry || s.isMoving() && now < s.previousLatestExpiry }
+		if slices.ContainsFunc(g.spans[name], mayBeLeased) {
+			continue
+		}
+		delete(g.spans, name)
+		delete(g.withdrawnServices, name)
+		g.deferWrite(now)
+	}
+}
+
 // SetCandidates sets the candidates and the number of instances in the record. New
 // candidates are written within deferredWriteDelay; a new number of instances is written
 // with the next change.
@@ -277,9 +295,7 @@
 		return
 	}
 	g.candidates = candidates
-	if g.deferredWriteSince == 0 {
-		g.deferredWriteSince = now
-	}
+	g.deferWrite(now)
 }
 
 // SetProfiles sets the profiles in the record. They are written with the next change.
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -138,6 +138,37 @@
 		Expect(owners[0].ReadyIn).To(BeNumerically(">", rangelease.DefaultOptions.TermConfirmationTimeout+rangelease.DefaultOptions.OutageLeaseDuration))
 	})
 
+	DescribeTable("knows the holders of a service that the configuration gives up and names again",
+		// Guards against two holders: the keys of the service were assigned anew while the leases of their holders still held.
+		func(between func(sim *simulation)) {
+			sim := newSimulation(nil, 3)
+			sim.takeOver(sim.instances[0])
+			sim.run(time.Second)
+			sim.setWithdrawn(true)
+			sim.addServer("t9", 1) // the keys would be divided otherwise now
+			between(sim)
+			sim.setWithdrawn(false)
+			sim.run(4 * time.Second)
+			Expect(sim.servedEighths()).To(Equal(8))
+		},
+		Entry("within the time of a lease", func(sim *simulation) { sim.run(time.Second) }),
+		Entry("after another instance has begun to lead", func(sim *simulation) {
+			sim.run(1200 * time.Millisecond) // a record is written meanwhile
+			sim.endAndReplaceGrantor()
+			sim.run(100 * time.Millisecond)
+		}),
+	)
+
+	It("does not renew the leases of a service that the configuration has given up, and forgets them when they have expired", func() {
+		// Guards against holders of keys that nobody asks for, and against a record that grows with each service that ever was.
+		runScenario(func(sim *simulation) {
+			sim.setWithdrawn(true)
+			sim.run(6 * time.Second)
+			Expect(sim.servedEighths()).To(BeZero())
+			Expect(sim.record.Services).To(BeEmpty())
+		})
+	})
+
 	It("assigns all keys to the servers at the start", func() {
 		// Guards against keys without a holder in a new deployment.
 		runScenario(func(sim *simulation) { Expect(sim.servedEighths()).To(Equal(8)) })
@@ -380,7 +411,9 @@
 	if len(ids) > 0 {
 		v = sim.servers[ids[rapid.IntRange(0, len(ids)-1).Draw(sim.t, "server")]]
 	}
-	switch kind := rapid.IntRange(0, 12).Draw(sim.t, "fault"); {
+	switch kind := rapid.IntRange(0, 13).Draw(sim.t, "fault"); {
+	case kind == 13:
+		sim.setWithdrawn(!sim.withdrawn)
 	case kind == 11 && v != nil && v.Address == v.ID:
 		sim.addClaim(v, fmt.Sprintf("claim%d", len(sim.servers)))
 	case kind == 12 && v != nil && v.Address == v.ID:
--- a/ownership/rangelease/restore.go
+++ b/ownership/rangelease/restore.go
@@ -57,9 +57,7 @@
 		return
 	}
 	g.holdersUnknownUntil = 0
-	if g.deferredWriteSince == 0 {
-		g.deferredWriteSince = now
-	}
+	g.deferWrite(now)
 }
 
 // SuspendMoves is called when the store is found to have been restored from an older copy. Until
--- a/ownership/rangelease/simulation_test.go
+++ b/ownership/rangelease/simulation_test.go
@@ -107,6 +107,7 @@
 	unansweredPercent int
 	// maxCalls is the limit that each tick of a grantor gets.
 	maxCalls      int
+	withdrawn     bool // the configuration does not name the service
 	highestTokens [8]uint64 // highest token of a holder, by eighth of the keys
 	lastHolders   [8]routing.Lifetime
 }
@@ -173,7 +174,24 @@
 			}
 		}
 	})
-	in.grantor.SetServices([]string{service})
+	in.grantor.SetServices(sim.services())
+}
+
+func (sim *simulation) services() []string {
+	if sim.withdrawn {
+		return nil
+	}
+	return []string{service}
+}
+
+// setWithdrawn removes the service from the configuration or adds it again.
+func (sim *simulation) setWithdrawn(withdrawn bool) {
+	sim.withdrawn = withdrawn
+	for _, in := range sim.instances {
+		if in.grantor != nil {
+			in.grantor.SetServices(sim.services())
+		}
+	}
 }
 
 func (sim *simulation) tick(in *simInstance) {
@@ -199,11 +217,13 @@
 		}
 		g.ReportTermConfirmed(sim.now)
 		g.SetTargets(sim.targets())
-		var usable []keyrange.Target
-		for _, t := range g.UsableTargets(sim.now, service) {
-			usable = append(usable, keyrange.Target{Lifetime: t.Lifetime(), Capacity: 1})
+		for _, name := range sim.services() {
+			var usable []keyrange.Target
+			for _, t := range g.UsableTargets(sim.now, name) {
+				usable = append(usable, keyrange.Target{Lifetime: t.Lifetime(), Capacity: 1})
+			}
+			g.PlanMoves(name, alignToEighths(keyrange.Plan(g.Ranges(sim.now, name), usable, noLoad).Moves))
 		}
-		g.PlanMoves(service, alignToEighths(keyrange.Plan(g.Ranges(sim.now, service), usable, noLoad).Moves))
 	}
 	sim.tickActions(in)
 }
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -47,6 +47,7 @@
 	}
 	g.probeSuspected(now)
 	g.endUnknownHolders(now)
+	g.dropWithdrawnServices(now)
 	g.writeIfDue(now)
 	return g.actions
 }
@@ -72,7 +73,7 @@
 
 // isCallDue reports whether a release or a grant is due for a span.
 func (g *Grantor) isCallDue(now lease.Instant, s *leasedSpan, isolated bool) bool {
-	if s.outstandingCall != 0 || now < s.nextCallAt {
+	if s.outstandingCall != 0 || now < s.nextCallAt || g.withdrawnServices[s.service] {
 		return false
 	}
 	if g.movesSuspended && (s.isMoving() || s.latestExpiry == 0) {
@@ -122,9 +123,7 @@
 // the handover token, or it cannot hold the span any more and there is no token.
 func (g *Grantor) finishRelease(now lease.Instant, s *leasedSpan, handover string) {
 	s.previous, s.handover, s.outstandingCall, s.nextCallAt = routing.Lifetime{}, handover, 0, now
-	if g.deferredWriteSince == 0 {
-		g.deferredWriteSince = now
-	}
+	g.deferWrite(now)
 }
 
 func (g *Grantor) sendGrant(now lease.Instant, s *leasedSpan, state *targetState) {
@@ -295,6 +294,13 @@
 	}
 }
 
+// deferWrite requests a write of the record within deferredWriteDelay.
+func (g *Grantor) deferWrite(now lease.Instant) {
+	if g.deferredWriteSince == 0 {
+		g.deferredWriteSince = now
+	}
+}
+
 // writeIfDue adds a write of the record to the actions if the last one has to be repeated, moves
 // are planned, or other changes have waited for deferredWriteDelay.
 func (g *Grantor) writeIfDue(now lease.Instant) {
