Do not take a response for complete whose connection was reset

What callers saw: a target answers a long upload at once, without a length, and resets the connection while the upload is being written.

Cause: the kernel reports the error of a connection once. If the write of the upload gets it, the read after it returns an ordinary end.

Change: when such a body has ended during a write, the write is ended and its result decides: ECONNRESET or a time-out means that the response was cut, EPIPE that the target had closed its side before. A failed write no longer closes the connection under the read, which could lose a complete response.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/boragegate/boragegate/internal/httpwire"
+	"github.com/boragegate/boragegate/internal/socket"
 	"github.com/boragegate/boragegate/routing"
 )
 
@@ -97,55 +98,50 @@
 // roundTrip writes the request and reads the response. It reports whether the
 // connection can be reused.
 func (cn *conn) roundTrip(r *Request) (*Response, bool, error) {
-	writeResult, err := cn.writeRequest(r)
-	requestWritten := true  // false aborts the write of the body and excludes reuse
-	if writeResult != nil { // the body is still being written
-		defer func() {
-			if !requestWritten {
-				_ = cn.nc.SetWriteDeadline(time.Unix(1, 0))
-				if r.BodyStream != nil {
-					_ = r.BodyStream.Close()
-				}
-			}
-			if err := <-writeResult; err != nil {
-				_ = cn.nc.Close() // the server must not wait for the remaining body
-			}
-		}()
-	}
+	write, err := cn.writeRequest(r)
+	requestWritten := write == nil
+	defer func() {
+		if write == nil {
+			return
+		}
+		if !requestWritten {
+			write.abort()
+		}
+		if write.wait() != nil {
+			_ = cn.nc.Close() // the server must not wait for the remaining body
+		}
+	}()
 	if err != nil {
 		return nil, false, err
 	}
 	resp, err := cn.readResponse(r) //nolint:bodyclose // read to its end or closed with the connection
 	if err != nil {
-		requestWritten = false
 		return nil, false, fmt.Errorf("read response: %w", err)
 	}
-	if writeResult != nil {
-		select {
-		case err := <-writeResult:
-			writeResult <- err
-			requestWritten = err == nil
-		default:
-			requestWritten = false // response before the end of the body: the server still expects the rest
-		}
+	if write != nil {
+		requestWritten = write.hasSucceeded() // otherwise the server may still expect the rest
 	}
 	out, complete, err := cn.readBody(resp)
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if err == nil && complete && endsWithConnection && write != nil {
+		write.abort() // it may have got the error of the connection that ended the body
+		if err = socket.ResetError(write.wait()); err != nil {
+			_ = out.Release()
+		}
+	}
 	if err != nil {
 		requestWritten = false
 		return nil, false, fmt.Errorf("read response body: %w", err)
 	}
 	cn.idleTimeout = keepAliveTimeout(resp.Header)
-	reusable := complete && requestWritten && !resp.Close && cn.br.Buffered() == 0 && cn.idleTimeout > 0
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
-		reusable = false // the end of the connection marks the end of the body
-	}
+	reusable := complete && requestWritten && !endsWithConnection && !resp.Close && cn.br.Buffered() == 0 && cn.idleTimeout > 0
 	return out, reusable, nil
 }
 
-// writeRequest writes the header and a body of at most maxInlineBodyBytes, and returns a
-// nil channel. A larger or streamed body is written by a new goroutine while the response
-// is read; the returned channel then receives the result of that write.
-func (cn *conn) writeRequest(r *Request) (chan error, error) {
+// writeRequest writes the header and a body of at most maxInlineBodyBytes, and returns nil.
+// A larger or streamed body is written while the response is read; writeRequest then returns
+// that write.
+func (cn *conn) writeRequest(r *Request) (*bodyWrite, error) {
 	var b bytes.Buffer
 	b.Grow(768)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -172,9 +168,44 @@
 	if n, err := cn.nc.Write(b.Bytes()); err != nil {
 		return nil, wrapWriteError(n, err)
 	}
-	done := make(chan error, 1)
-	go func() { done <- cn.writeBody(r) }()
-	return done, nil
+	w := &bodyWrite{cn: cn, stream: r.BodyStream, done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		w.err = cn.writeBody(r)
+	}()
+	return w, nil
+}
+
+// bodyWrite is the write of a request body in a goroutine of its own.
+type bodyWrite struct {
+	cn     *conn
+	stream io.Closer // nil if the body is not streamed
+	done   chan struct{}
+	err    error // valid once done is closed
+}
+
+// hasSucceeded reports whether the whole body has been written.
+func (w *bodyWrite) hasSucceeded() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
+// wait returns the result of the write when it has ended.
+func (w *bodyWrite) wait() error {
+	<-w.done
+	return w.err
+}
+
+// abort makes a write that has not ended fail.
+func (w *bodyWrite) abort() {
+	_ = w.cn.nc.SetWriteDeadline(time.Unix(1, 0))
+	if w.stream != nil {
+		_ = w.stream.Close()
+	}
 }
 
 // wrapWriteError returns nil if err is nil. Otherwise it wraps err, the error of a write of
@@ -198,10 +229,7 @@
 		if err == nil && n != r.Length-int64(len(r.Body)) {
 			err = io.ErrUnexpectedEOF
 		}
-		if err != nil {
-			_ = cn.nc.Close() // the server must not take an incomplete body for a complete one
-		}
-		return err
+		return cn.endBody(err)
 	}
 	w := &httpwire.ChunkWriter{W: cn.nc}
 	if _, err := w.Write(r.Body); err != nil {
@@ -209,13 +237,22 @@
 	}
 	if r.BodyStream != nil {
 		if _, err := copyBody(w, r.BodyStream); err != nil {
-			_ = cn.nc.Close()
-			return err
+			return cn.endBody(err)
 		}
 	}
 	return w.Close()
 }
 
+// endBody ends the connection if the source of a body has failed, so that the server does not take an
+// incomplete body for a complete one. After a failed write the response, which the server may have sent
+// before, can still be read. It returns err, the result of the write.
+func (cn *conn) endBody(err error) error {
+	if err != nil && !socket.IsWriteError(err) {
+		_ = cn.nc.Close()
+	}
+	return err
+}
+
 // copyBody copies through a buffer of copyBufferBytes. It hides ReadFrom and WriteTo of
 // its arguments, which would allocate a larger buffer.
 func copyBody(w io.Writer, r io.Reader) (int64, error) {
--- a/ownership/rangelease/simulation_test.go
+++ b/ownership/rangelease/simulation_test.go
@@ -107,7 +107,7 @@
 	unansweredPercent int
 	// maxCalls is the limit that each tick of a grantor gets.
 	maxCalls      int
-	withdrawn     bool // the configuration does not name the service
+	withdrawn     bool      // the configuration does not name the service
 	highestTokens [8]uint64 // highest token of a holder, by eighth of the keys
 	lastHolders   [8]routing.Lifetime
 }
