Report a reset that a write has got to the transport of the daemon

What callers of boragegated would have seen: as with entry instances, the beginning of a response without a length as a complete one, if the server resets the connection while the request is being written.

Cause: net/http reads the end of the stream after its write has got the error of the connection. Change: a tracked connection keeps that error and returns it instead of the end.

--- a/internal/gateway/tracked.go
+++ b/internal/gateway/tracked.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"cmp"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
+	"time"
+
+	"github.com/boragegate/boragegate/internal/socket"
 )
 
 // Errors of writes that a tracked connection rejects.
@@ -38,6 +43,8 @@
 	pending    bool // assigned to a request, of which nothing has been written yet
 	hasWritten bool // a request was written before
 	sealed     bool // no further writes are allowed
+	writing    bool
+	resetErr   error // of a write, if the connection was reset or has timed out
 	noData     bool // result of the last peek: open and nothing to read
 	peekBuffer [1]byte
 	peek       func(uintptr) // peekForData; stored, because a new method value for each request would allocate
@@ -65,9 +72,27 @@
 	c.setReadState(state)
 	n, err := c.Conn.Read(p)
 	c.setReadState(readStateNone)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
 	return n, err
 }
 
+// endError returns the error with which the connection has ended: io.EOF if the peer has closed it, or the
+// error that a write has got, which the read did not get any more.
+func (c *trackedConn) endError() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // ends a write in progress
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writing {
+		c.changed.Wait()
+	}
+	if c.resetErr != nil {
+		return c.resetErr
+	}
+	return io.EOF
+}
+
 func (c *trackedConn) setReadState(r readState) {
 	c.mu.Lock()
 	c.readState = r
@@ -86,11 +111,13 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if first && n == 0 && err != nil && c.plaintext {
-		c.mu.Lock()
 		c.pending, c.sealed = true, true
-		c.mu.Unlock()
 	}
+	c.writing, c.resetErr = false, cmp.Or(c.resetErr, socket.ResetError(err))
+	c.changed.Broadcast()
 	return n, err
 }
 
@@ -107,13 +134,14 @@
 		return false, errSealed
 	}
 	if !c.pending {
+		c.writing = true
 		return false, nil
 	}
 	if c.readState != readStateFirst || c.hasWritten && !c.isClean() {
 		c.sealed = true
 		return false, errConnNotIdle
 	}
-	c.pending, c.hasWritten = false, true
+	c.pending, c.hasWritten, c.writing = false, true, true
 	return true, nil
 }
 
