--- a/internal/gateway/tracked.go
+++ b/internal/gateway/tracked.go
@@ -45,7 +45,7 @@
 	sealed     bool // no further writes are allowed
 	writing    bool
 	resetErr   error // of a write, if the connection was reset or has timed out
-	noData     bool // result of the last peek: open and nothing to read
+	noData     bool  // result of the last peek: open and nothing to read
 	peekBuffer [1]byte
 	peek       func(uintptr) // peekForData; stored, because a new method value for each request would allocate
 }
