Refuse malformed heads of responses and requests

What callers saw: a target in trouble sends a head with a blank in the name of a field. Requests with such heads were passed on to targets.

Cause: net/http reads heads leniently, and only the status and the ID of the result were checked.

Change: the bytes of a head are checked as they arrive, in one place for both directions: token, colon and value in each line, no folded lines, a length or an encoding but not both, HTTP/1 only, no encoding in HTTP/1.0. A response with two different IDs is refused too.

--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -1,5 +1,5 @@
 // Package httpwire contains the HTTP/1.1 helpers beyond package net/http that both the
-// ingress and the upstream side use: a limit on header sizes, chunked encoding,
+// ingress and the upstream side use: a limit on and a check of headers, chunked encoding,
 // hop-by-hop headers, and the values of some headers.
 package httpwire
 
@@ -11,30 +11,50 @@
 	"strings"
 )
 
-// Unlimited is the Remaining value that disables the limit of a HeaderLimitReader while
-// a body is read.
-const Unlimited = 1 << 62
-
 // ErrHeaderTooLarge means that a header exceeds its limit.
 var ErrHeaderTooLarge = errors.New("HTTP header exceeds the limit")
 
-// HeaderLimitReader reads at most Remaining bytes from R, and then fails with
-// ErrHeaderTooLarge instead of io.EOF.
-type HeaderLimitReader struct {
-	R         io.Reader
-	Remaining int64
+// HeadReader reads from R. It limits and checks the heads of messages, which package net/http parses.
+type HeadReader struct {
+	R io.Reader
+
+	remaining int64 // bytes that may be read; used only while isLimited is true
+	isLimited bool
+	check     HeadCheck
 }
 
-// Read returns ErrHeaderTooLarge when Remaining is used up.
-func (l *HeaderLimitReader) Read(p []byte) (int, error) {
-	if l.Remaining <= 0 {
-		return 0, ErrHeaderTooLarge
-	}
-	if int64(len(p)) > l.Remaining {
-		p = p[:l.Remaining]
+// Limit limits the bytes that are read from now on. Then reads fail with ErrHeaderTooLarge.
+func (l *HeadReader) Limit(bytes int64) { l.remaining, l.isLimited = bytes, true }
+
+// EndHead ends the limit and the check.
+func (l *HeadReader) EndHead() {
+	l.isLimited = false
+	l.check.End()
+}
+
+// BeginHead begins the check of a head. buffered has the bytes of it that have been read already. It returns
+// ErrMalformedHead if these are not valid; later bytes make Read return that error.
+func (l *HeadReader) BeginHead(buffered []byte) error {
+	l.check.Begin()
+	return l.check.Scan(buffered)
+}
+
+// CheckVersion is HeadCheck.CheckVersion for the last head.
+func (l *HeadReader) CheckVersion(major, minor int) error { return l.check.CheckVersion(major, minor) }
+
+// Read implements io.Reader.
+func (l *HeadReader) Read(p []byte) (int, error) {
+	if l.isLimited {
+		if l.remaining <= 0 {
+			return 0, ErrHeaderTooLarge
+		}
+		p = p[:min(int64(len(p)), l.remaining)]
 	}
 	n, err := l.R.Read(p)
-	l.Remaining -= int64(n)
+	l.remaining -= int64(n)
+	if malformed := l.check.Scan(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -8,8 +8,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/boragegate/boragegate/internal/httpwire"
 )
 
 // minBodyRate is the rate, in bytes per second, at which a streamed body has to arrive, apart from bodyTimeout that the
@@ -36,7 +34,7 @@
 func (c *conn) readBody(x *exchange, limits Limits) (rejected *exchange) {
 	r := x.request
 	markDisconnected := func() *exchange { r.Request = nil; return nil }
-	c.headerLimit.Remaining = httpwire.Unlimited
+	c.head.EndHead()
 	c.setReadDeadline(time.Now().Add(bodyTimeout))
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		r.Header.Del("Expect")
--- a/internal/ingress/close.go
+++ b/internal/ingress/close.go
@@ -5,8 +5,6 @@
 	"net"
 	"os"
 	"time"
-
-	"github.com/boragegate/boragegate/internal/httpwire"
 )
 
 // beginClose closes the write side of the connection and sets lingerTimeout as the read
@@ -36,7 +34,7 @@
 		return "closed"
 	}
 	buffer := make([]byte, lingerBufferBytes)
-	c.headerLimit.Remaining = httpwire.Unlimited
+	c.head.EndHead()
 	for {
 		if _, err := c.br.Read(buffer); err != nil {
 			c.mu.Lock()
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -67,12 +67,12 @@
 
 // conn is a connection from a caller.
 type conn struct {
-	s           *Server
-	nc          net.Conn
-	br          *bufio.Reader
-	headerLimit httpwire.HeaderLimitReader
-	ctx         context.Context
-	cancel      context.CancelFunc
+	s      *Server
+	nc     net.Conn
+	br     *bufio.Reader
+	head   httpwire.HeadReader
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu           sync.Mutex
 	queue        []*exchange
@@ -101,8 +101,8 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{s: s, nc: nc, idleSince: time.Now()}
-	c.headerLimit.R = callerReader{c}
-	c.br = bufio.NewReaderSize(&c.headerLimit, bufferBytes)
+	c.head.R = callerReader{c}
+	c.br = bufio.NewReaderSize(&c.head, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.queueChanged.L = &c.mu
 	return c
@@ -178,7 +178,7 @@
 		}
 		_ = c.nc.SetReadDeadline(deadline)
 		c.mu.Unlock()
-		c.headerLimit.Remaining = int64(limits.HeaderBytes) + bufferBytes
+		c.head.Limit(int64(limits.HeaderBytes) + bufferBytes)
 		_, err := c.br.Peek(1)
 		switch {
 		case err == nil:
@@ -210,7 +210,7 @@
 		return nil, c.rejectMemory()
 	}
 	c.inHeader = true
-	r, err := http.ReadRequest(c.br)
+	r, err := c.readHead()
 	c.inHeader = false
 	if err != nil {
 		c.s.free(c, c.headerCharge)
@@ -247,6 +247,19 @@
 	return x, nil
 }
 
+// readHead reads the head of a request.
+func (c *conn) readHead() (*http.Request, error) {
+	buffered, _ := c.br.Peek(c.br.Buffered())
+	if err := c.head.BeginHead(buffered); err != nil {
+		return nil, err
+	}
+	r, err := http.ReadRequest(c.br)
+	if err != nil {
+		return nil, err
+	}
+	return r, c.head.CheckVersion(r.ProtoMajor, r.ProtoMinor)
+}
+
 func isNetworkError(err error) bool {
 	var n net.Error
 	return errors.As(err, &n)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -43,7 +44,7 @@
 	pool        *pool
 	nc          net.Conn
 	br          *bufio.Reader
-	headerLimit httpwire.HeaderLimitReader
+	head        httpwire.HeadReader
 	idleSince   time.Time     // start of the idle period
 	idleUntil   time.Time     // time at which the connection expires
 	idleTime    time.Duration // idle time before the current request
@@ -52,8 +53,8 @@
 }
 
 func newConn(c *Client, p *pool, nc net.Conn) *conn {
-	cn := &conn{client: c, pool: p, nc: nc, headerLimit: httpwire.HeaderLimitReader{R: nc}}
-	cn.br = bufio.NewReaderSize(&cn.headerLimit, bufferBytes)
+	cn := &conn{client: c, pool: p, nc: nc, head: httpwire.HeadReader{R: nc}}
+	cn.br = bufio.NewReaderSize(&cn.head, bufferBytes)
 	return cn
 }
 
@@ -265,12 +266,10 @@
 func (cn *conn) readResponse(r *Request) (*http.Response, error) {
 	mismatched, informational := 0, 0
 	for {
-		cn.headerLimit.Remaining = maxHeaderBytes
-		resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+		resp, err := cn.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		cn.headerLimit.Remaining = httpwire.Unlimited
 		if !httpwire.IsValidStatus(resp.StatusCode) {
 			return nil, fmt.Errorf("%w: %.20q", ErrInvalidStatus, resp.Status)
 		}
@@ -280,8 +279,9 @@
 			}
 			continue
 		}
-		id := resp.Header.Get(cn.client.IDHeader)
-		if id == r.ID && id != "" || id == "" && !cn.reused && mismatched == 0 {
+		ids := resp.Header.Values(cn.client.IDHeader)
+		matches := !slices.ContainsFunc(ids, func(id string) bool { return id != r.ID || id == "" })
+		if matches && (len(ids) > 0 || !cn.reused && mismatched == 0) {
 			return resp, nil
 		}
 		if mismatched++; mismatched > maxMismatched {
@@ -293,3 +293,18 @@
 		}
 	}
 }
+
+// readHead reads the head of the next response.
+func (cn *conn) readHead(method string) (*http.Response, error) {
+	cn.head.Limit(maxHeaderBytes)
+	buffered, _ := cn.br.Peek(cn.br.Buffered())
+	if err := cn.head.BeginHead(buffered); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	cn.head.EndHead()
+	return resp, cn.head.CheckVersion(resp.ProtoMajor, resp.ProtoMinor)
+}
