Refuse malformed heads of responses in the daemon

What callers of boragegated would have seen: a body that is not the server's after a blank in the name of its length or encoding, a folded line, or an encoding in HTTP/1.0. net/http drops such names when it writes, but reads the body by its own reading of the head.

Change: tracked connections check the head of each response, also after an informational one.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -70,10 +70,12 @@
 		err = errUnsolicitedResponse
 	case resp.StatusCode < http.StatusOK || !httpwire.IsValidStatus(resp.StatusCode): // 101: the server switched protocols without being asked to
 		err = errInvalidStatus
-	default:
-		return nil
+	case a.conn != nil:
+		err = a.conn.checkVersion(resp)
+	}
+	if err != nil {
+		_ = resp.Body.Close()
 	}
-	_ = resp.Body.Close()
 	return err
 }
 
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -136,6 +136,11 @@
 		Entry("status +20", raw("HTTP/1.1 +20 X\nContent-Length: 2\n\nab", true), "", true, 2),
 		Entry("status 600", raw("HTTP/1.1 600 X\nContent-Length: 2\n\nab", true), "", true, 2),
 		Entry("status 999", raw("HTTP/1.1 999 X\nContent-Length: 2\n\nab", true), "", true, 2),
+		Entry("blank in the name of a field", raw("HTTP/1.1 200 OK\nodd name: x\nContent-Length: 2\n\nab", true), "", true, 2),
+		Entry("blank after the name of the length", raw("HTTP/1.1 200 OK\nContent-Length : 2\n\nab", false), "", true, 2),
+		Entry("folded line", raw("HTTP/1.1 200 OK\nX: y\n Content-Length: 2\n\nab", false), "", true, 2),
+		Entry("encoding in HTTP/1.0", raw("HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n\n2\nab\n0\n\n", false), "", true, 2),
+		Entry("malformed after an informational answer", raw("HTTP/1.1 103 Early Hints\n\nHTTP/1.1 200 OK\nodd name: x\nContent-Length: 2\n\nab", true), "", true, 2),
 		Entry("upgrade", raw("HTTP/1.1 101 Switching Protocols\n\n", true), "", true, 2),
 		Entry("large header", raw("HTTP/1.1 200 OK\nX: "+strings.Repeat("x", 80<<10)+"\nContent-Length: 2\n\nab", false), "", true, 2),
 	)
--- a/internal/gateway/tracked.go
+++ b/internal/gateway/tracked.go
@@ -6,10 +6,12 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/boragegate/boragegate/internal/httpwire"
 	"github.com/boragegate/boragegate/internal/socket"
 )
 
@@ -45,7 +47,8 @@
 	sealed     bool // no further writes are allowed
 	writing    bool
 	resetErr   error // of a write, if the connection was reset or has timed out
-	noData     bool  // result of the last peek: open and nothing to read
+	head       httpwire.HeadCheck
+	noData     bool // result of the last peek: open and nothing to read
 	peekBuffer [1]byte
 	peek       func(uintptr) // peekForData; stored, because a new method value for each request would allocate
 }
@@ -72,12 +75,29 @@
 	c.setReadState(state)
 	n, err := c.Conn.Read(p)
 	c.setReadState(readStateNone)
+	if malformed := c.checkHead(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
 	return n, err
 }
 
+// checkHead checks the bytes that have been read as the head of the response, as far as they belong to it.
+func (c *trackedConn) checkHead(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Scan(p)
+}
+
+// checkVersion checks the version of the response, see httpwire.HeadCheck.
+func (c *trackedConn) checkVersion(resp *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.CheckVersion(resp.ProtoMajor, resp.ProtoMinor)
+}
+
 // endError returns the error with which the connection has ended: io.EOF if the peer has closed it, or the
 // error that a write has got, which the read did not get any more.
 func (c *trackedConn) endError() error {
@@ -142,6 +162,7 @@
 		return false, errConnNotIdle
 	}
 	c.pending, c.hasWritten, c.writing = false, true, true
+	c.head.Begin()
 	return true, nil
 }
 
