Start nothing behind a response that may break off

Cause: a streamed response can only fail by closing the connection, but requests behind it were started at once. Change: they start when it is answered, if its route is one with large responses or if it turns out to be streamed. Requests behind others start at once as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,7 +117,7 @@
 	}
 	f := &forwarder{shared: i.shared, client: i.client, platform: p, headers: p.Headers(), log: log, metrics: i.metrics, rejecting: &i.rejecting, stopDeadline: &i.stopDeadline}
 	i.ingress = &ingress.Server{
-		Handler: f.handle, Limits: i.limits, MustStartInOrder: i.mustNotPipeline,
+		Handler: f.handle, Limits: i.limits, MustStartInOrder: i.mustNotPipeline, MayBreakOff: i.hasLargeResponse,
 		OnAbort: func(reason string, unanswered int) {
 			i.metrics.abortedConnections.Inc(1)
 			log.Info().Str("event", "caller.connection_ended").Str("reason", reason).Int("unanswered", unanswered).Send()
@@ -204,6 +204,16 @@
 	return route == nil || !route.Kind.IsIdempotent()
 }
 
+// hasLargeResponse reports whether the response to a request is usually large, so that it may be streamed.
+func (i *Instance) hasLargeResponse(r *http.Request) bool {
+	config := i.shared.config.Load()
+	if config == nil {
+		return false
+	}
+	route := matchRoute(config, r)
+	return route != nil && route.Kind == routing.Bulk
+}
+
 // Start opens the listeners and begins to serve. It returns an error if an address cannot
 // be bound.
 func (i *Instance) Start() error {
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -205,6 +205,9 @@
 // already, so that further requests are rejected instead.
 func (c *conn) chargeResponse(x *exchange, r *Response) {
 	if r != nil && r.Stream != nil {
+		c.mu.Lock()
+		x.mayBreakOff = true // also of a request of which that was not expected
+		c.mu.Unlock()
 		c.s.chargeAlways(c, responseStreamBytes)
 		x.charged += responseStreamBytes
 	}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,9 @@
 	charged int64
 	// atHead is closed when all earlier requests are answered.
 	atHead chan struct{}
+	// mayBreakOff is set if the response may break off, and startsAtHead if that of an earlier request may. conn.mu
+	// guards both.
+	mayBreakOff, startsAtHead bool
 }
 
 // conn is a connection from a caller.
@@ -231,6 +235,7 @@
 		atHead:     make(chan struct{}),
 		charged:    c.headerCharge,
 	}
+	x.mayBreakOff = c.s.MayBreakOff != nil && c.s.MayBreakOff(r)
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		return x, nil
 	}
@@ -285,6 +290,7 @@
 	if len(c.queue) == 0 {
 		close(x.atHead)
 	}
+	x.startsAtHead = slices.ContainsFunc(c.queue, func(earlier *exchange) bool { return earlier.mayBreakOff })
 	c.queue = append(c.queue, x)
 	return true
 }
@@ -293,6 +299,7 @@
 func (c *conn) startHandler(x *exchange) {
 	c.handlers.Add(1)
 	c.s.inFlight.Add(1)
+	startsAtHead := x.startsAtHead || c.s.MustStartInOrder(x.request.Request)
 	go func() {
 		defer c.handlers.Done()
 		defer c.s.inFlight.Add(-1)
@@ -300,7 +307,7 @@
 		if x.bodyDone != nil {
 			defer close(x.bodyDone)
 		}
-		if c.s.MustStartInOrder(x.request.Request) {
+		if startsAtHead {
 			select {
 			case <-x.atHead:
 			case <-c.ctx.Done():
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -65,6 +65,10 @@
 	// MustStartInOrder reports whether a request may start only after all earlier
 	// requests on its connection are answered.
 	MustStartInOrder func(r *http.Request) bool
+	// MayBreakOff reports whether the response to a request may be streamed, so that its connection is closed if it
+	// breaks off; nil means that none is. Requests behind it start only after it is answered: their responses could not
+	// be sent any more.
+	MayBreakOff func(r *http.Request) bool
 	// MaxConnections bounds the number of open connections; 0 means no limit.
 	// Connections above it are closed immediately, so that file descriptors remain
 	// for connections to targets and the store.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -173,6 +173,38 @@
 		Eventually(server.Connections).Should(BeZero())
 	})
 
+	DescribeTable("does not start a request behind a response that may break off",
+		// Guards against requests that targets have run and whose responses are lost, because the connection is closed when a
+		// streamed response before them breaks off.
+		func(first string, behind int) {
+			server.MayBreakOff = func(r *http.Request) bool { return r.URL.Path == first && first == "/broken" }
+			started := make(chan string, 10)
+			handler := server.Handler
+			server.Handler = func(ctx context.Context, r *ingress.Request) *ingress.Response {
+				started <- r.URL.Path
+				if r.URL.Path == first {
+					time.Sleep(100 * time.Millisecond) // the others have arrived by then
+				}
+				return handler(ctx, r)
+			}
+			c, r := dial()
+			send(c, "GET "+first+" HTTP/1.1\nHost: h\n\nGET /a HTTP/1.1\nHost: h\n\nGET /b HTTP/1.1\nHost: h\n\n")
+			if first == "/broken" {
+				_, _, err := readResponse(r)
+				Expect(err).To(HaveOccurred())
+			} else {
+				for _, want := range []string{first, "/a", "/b"} {
+					_, body, err := readResponse(r)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(body).To(Equal(want))
+				}
+			}
+			Eventually(started).Should(HaveLen(1 + behind))
+			Consistently(started, "50ms").Should(HaveLen(1 + behind))
+		},
+		Entry("that does", "/broken", 0), Entry("but starts it behind another one", "/x", 2),
+	)
+
 	It("does not start a request that is pipelined behind one with Connection: close", func() {
 		// Guards against a request that runs twice: it is pipelined behind one whose
 		// response closes the connection, so the caller sends it again.
--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -425,10 +425,14 @@
 
 // isReplaced reports whether the lifetime has ended or a later one is listed at its address.
 func (g *Grantor) isReplaced(id routing.Lifetime) bool {
-	state := g.targets[id]
-	return g.hasEnded(id) || state != nil && state.addressClaimed
+	if state := g.targets[id]; state != nil {
+		return state.isReplaced()
+	}
+	return g.hasEnded(id)
 }
 
+func (s *targetState) isReplaced() bool { return s.ended || s.addressClaimed }
+
 // possibleHolder returns the lifetime, other than next, that may still hold the keys of
 // holder when they are moved to next. Usually this is holder itself. If holder has ended, it
 // is a later lifetime with the same ID: the server has restarted, and until the new lifetime
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -85,7 +85,7 @@
 	}
 	state := g.targets[s.holder]
 	switch {
-	case state == nil || g.isReplaced(s.holder):
+	case state == nil || state.isReplaced():
 		return false
 	case s.plannedHolder != (routing.Lifetime{}) && s.latestExpiry == 0:
 		return false // a holder that cannot have a lease yet gets none if a move of the span is planned
@@ -181,7 +181,7 @@
 	}
 	sent := 0
 	for id, state := range g.suspected {
-		if state.probeCall != 0 || now < state.nextProbeAt || g.isReplaced(id) {
+		if state.probeCall != 0 || now < state.nextProbeAt || state.isReplaced() {
 			continue
 		}
 		key, ok := g.keyNotHeldBy(state.Service, id)
