Take no answer at another address for the end of a target

Cause: since an answer of another process counts as proof that a target has ended, an entry of another writer under the name of a target, with a later start and another address, could bring that proof about: the release goes to the address in the entry. The same holds for a grantor that has never had the address of the earlier lifetime.

Change: a later lifetime proves the end of an earlier one only at the same address. Where the earlier address is not known, only a release of the later lifetime frees the span, or the end of the leases; a refusal there does not.

Two of the failures on the way were faults of the simulation: a process without an address, and two processes at one address.

--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -81,12 +81,12 @@
 	routing.Target
 	// listed is true while the target is in the list of targets.
 	listed bool
-	// ended is true if the lifetime is known to have ended: a later one has its ID, or another target has answered at
-	// its address.
+	// ended is true if the lifetime is known to have ended: a later one has its ID and its address, or another target has
+	// answered at its address.
 	ended bool
-	// addressClaimed is true if a later lifetime is listed at its address. Anybody may have written that entry, so it
-	// does not prove that the lifetime has ended: the process at the address has to be asked.
-	addressClaimed bool
+	// superseded is true if a later lifetime is listed with its ID or its address. Anybody may have written that entry,
+	// so it does not prove that the lifetime has ended: the process at the address has to be asked.
+	superseded bool
 	// called is true if the target was called at least once.
 	called bool
 	// unansweredSince is the start of the time without an answer: the last answer or, if it
@@ -194,7 +194,7 @@
 		for _, e := range entries {
 			s := &leasedSpan{Span: e.Span, service: name, holder: e.Holder, latestExpiry: inherited, inherited: true, nextCallAt: now, reason: e.Reason, term: e.Term}
 			if e.Previous != nil {
-				s.previous, s.previousLatestExpiry = *e.Previous, inherited
+				s.previous, s.previousUncertain, s.previousLatestExpiry = *e.Previous, true, inherited
 				s.releaseToken = g.nextFencingToken()
 			}
 			g.spans[name] = append(g.spans[name], s)
@@ -337,7 +337,7 @@
 			removeFromIndex(g.targetsByAddress, state.Address, state)
 			g.targetsByAddress[t.Address] = append(g.targetsByAddress[t.Address], state)
 		}
-		state.Target, state.ended, state.addressClaimed = *t, false, false
+		state.Target, state.ended, state.superseded = *t, false, false
 		g.setListed(state, true)
 	}
 	for i := range updated {
@@ -361,31 +361,22 @@
 	state.listed = listed
 }
 
-// markReplaced marks the targets that are not listed and whose ID or address belongs to a later listed lifetime.
+// markReplaced marks the targets with the ID or the address that are not listed, if a later lifetime with that ID or
+// address is.
 func (g *Grantor) markReplaced(id, address string) {
-	for _, state := range replacedTargets(g.targetsByID[id]) {
-		state.ended = true
-	}
-	for _, state := range replacedTargets(g.targetsByAddress[address]) {
-		state.addressClaimed = true
-	}
-}
-
-// replacedTargets returns the targets of a group that are not listed, if a later lifetime of the group is listed.
-func replacedTargets(group []*targetState) []*targetState {
-	newestIncarnation := int64(0)
-	for _, state := range group {
-		if state.listed {
-			newestIncarnation = max(newestIncarnation, state.Incarnation)
-		}
-	}
-	var replaced []*targetState
-	for _, state := range group {
-		if !state.listed && state.Incarnation < newestIncarnation {
-			replaced = append(replaced, state)
+	for _, group := range [][]*targetState{g.targetsByID[id], g.targetsByAddress[address]} {
+		for _, state := range group {
+			if state.listed {
+				continue
+			}
+			for _, later := range group {
+				if later.listed && later.Incarnation > state.Incarnation {
+					state.superseded = true
+					state.ended = state.ended || later.ID == state.ID && later.Address == state.Address
+				}
+			}
 		}
 	}
-	return replaced
 }
 
 func removeFromIndex(index map[string][]*targetState, key string, state *targetState) {
@@ -418,12 +409,11 @@
 	if state := g.targets[id]; state != nil {
 		return state.ended
 	}
-	// The holder was never in this grantor's list. A later lifetime with the same ID proves
-	// that it has ended.
-	return slices.ContainsFunc(g.targetsByID[id.ID], func(state *targetState) bool { return state.Incarnation > id.Incarnation })
+	// The holder was never in this grantor's list. A later lifetime that is listed with its ID has to release its keys.
+	return slices.ContainsFunc(g.targetsByID[id.ID], func(state *targetState) bool { return state.listed && state.Incarnation > id.Incarnation })
 }
 
-// isReplaced reports whether the lifetime has ended or a later one is listed at its address.
+// isReplaced reports whether the lifetime has ended or a later one is listed with its ID or address.
 func (g *Grantor) isReplaced(id routing.Lifetime) bool {
 	if state := g.targets[id]; state != nil {
 		return state.isReplaced()
@@ -431,13 +421,13 @@
 	return g.hasEnded(id)
 }
 
-func (s *targetState) isReplaced() bool { return s.ended || s.addressClaimed }
+func (s *targetState) isReplaced() bool { return s.ended || s.superseded }
 
-// possibleHolder returns the lifetime, other than next, that may still hold the keys of
+// possibleHolder returns the lifetime that may still hold the keys of
 // holder when they are moved to next. Usually this is holder itself. If holder has ended, it
 // is a later lifetime with the same ID: the server has restarted, and until the new lifetime
 // was listed it may have received renewals that were meant for the ended one. The result is
-// the zero Lifetime if nobody but next can hold the keys.
+// the zero Lifetime if nobody but next can hold the keys. It may be next itself if holder was never listed.
 func (g *Grantor) possibleHolder(holder, next routing.Lifetime) routing.Lifetime {
 	if holder == (routing.Lifetime{}) {
 		return holder
@@ -446,7 +436,8 @@
 		return holder
 	}
 	for _, state := range g.targetsByID[holder.ID] {
-		if state.listed && state.Incarnation > holder.Incarnation && state.Lifetime() != next {
+		// Without the address of holder it is not known whether the later lifetime is at the same one.
+		if state.listed && state.Incarnation > holder.Incarnation && (state.Lifetime() != next || g.targets[holder] == nil) {
 			return state.Lifetime()
 		}
 	}
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -259,6 +259,18 @@
 		})
 	})
 
+	It("asks a server to release its keys although a later start under its name is listed at another address", func() {
+		// Guards against two holders: another writer has replaced the entry of a server, and another process, which answers at the
+		// address there, is taken for the proof that the server has ended.
+		runScenario(func(sim *simulation) {
+			sim.addMove(sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}])
+			sim.run(time.Second)
+			sim.takeOver(sim.instances[1]) // has never had the entry of the server
+			sim.run(25 * time.Second)
+			Expect(sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}].leaseEnd).To(HaveEach(BeNumerically("<=", sim.now)))
+		})
+	})
+
 	It("releases the keys that a restarted server was granted under its old lifetime", func() {
 		// Guards against two holders: renewals that are meant for the old lifetime reach the
 		// new one until it is listed. On a deployment, the same happened with another target
@@ -411,7 +423,9 @@
 	if len(ids) > 0 {
 		v = sim.servers[ids[rapid.IntRange(0, len(ids)-1).Draw(sim.t, "server")]]
 	}
-	switch kind := rapid.IntRange(0, 13).Draw(sim.t, "fault"); {
+	switch kind := rapid.IntRange(0, 14).Draw(sim.t, "fault"); {
+	case kind == 14 && v != nil && v.Address == v.ID:
+		sim.addMove(v)
 	case kind == 13:
 		sim.setWithdrawn(!sim.withdrawn)
 	case kind == 11 && v != nil && v.Address == v.ID:
@@ -435,6 +449,7 @@
 		v.up = false
 	case kind == 7:
 		v.up = false
+		sim.endProcessesAt(v.ID)
 		sim.addServer(v.ID, v.Incarnation+1)
 	case kind == 8:
 		v.Draining = true
--- a/ownership/rangelease/record.go
+++ b/ownership/rangelease/record.go
@@ -20,10 +20,11 @@
 // What a grantor knows about targets:
 //
 //   - A target is listed while it is in the list of targets that the grantor is given.
-//   - A lifetime has ended if a later lifetime has its ID, or if another target answers at its
-//     address: its process no longer runs, so it holds no keys. That another target is listed
-//     at its address is no proof, since the entry may have another writer: the target gets no
-//     more grants, and its keys are moved, but it is asked to release them.
+//   - A lifetime has ended if a later lifetime is listed with its ID and its address, or if
+//     another target answers at its address: its process no longer runs, so it holds no keys.
+//     That another lifetime is listed at its address, or with its ID at another address, is no
+//     proof, since the entry may have another writer: the target gets no more grants, and its
+//     keys are moved, but it is asked to release them.
 //   - A target is suspected after two consecutive calls without an answer. Unless the
 //     grantor is isolated, it gets no grants until it answers a call, for example a probe.
 //   - A suspected target is unreachable if it has also not answered for
@@ -65,7 +66,7 @@
 	// Reason is why the holder got the span, and Term the term in which it did. The reasons,
 	// as in the log of moves, are "first" (the span had no holder), "load" (the load was
 	// balanced), and what was known about the previous holder: "draining", "gone" (no longer
-	// listed), "ended" (another lifetime has its ID or is listed at its address) or "unreachable".
+	// listed), "ended" (a later lifetime is listed with its ID or address) or "unreachable".
 	Reason string `json:"reason,omitempty"`
 	Term   uint64 `json:"term,omitempty"`
 }
--- a/ownership/rangelease/simulation_test.go
+++ b/ownership/rangelease/simulation_test.go
@@ -280,7 +280,7 @@
 // again under its ID has the same address.
 func (sim *simulation) serverFor(to routing.Lifetime) *simServer {
 	for incarnation := to.Incarnation + 10; incarnation > to.Incarnation; incarnation-- {
-		if v := sim.servers[routing.Lifetime{ID: to.ID, Incarnation: incarnation}]; v != nil {
+		if v := sim.servers[routing.Lifetime{ID: to.ID, Incarnation: incarnation}]; v != nil && (sim.servers[to] == nil || v.Address == sim.servers[to].Address) {
 			return v
 		}
 	}
@@ -399,9 +399,10 @@
 
 // replaceAtAddress ends a server. Another one starts at its address and is listed in its place.
 func (sim *simulation) replaceAtAddress(old *simServer, id string) *simServer {
+	sim.endProcessesAt(old.Address)
 	for _, v := range sim.servers {
 		if v.Address == old.Address {
-			v.up, sim.listed[v.Lifetime()] = false, false
+			sim.listed[v.Lifetime()] = false
 		}
 	}
 	v := sim.addServerAt(id, old.Incarnation+1, old.Address)
@@ -409,6 +410,13 @@
 	return v
 }
 
+// endProcessesAt ends the servers at an address, so that another one can start there.
+func (sim *simulation) endProcessesAt(address string) {
+	for _, v := range sim.servers {
+		v.up = v.up && v.Address != address
+	}
+}
+
 // addClaim lists a later lifetime at the address of a server, which goes on running, in its place.
 func (sim *simulation) addClaim(of *simServer, id string) {
 	sim.listed[of.Lifetime()] = false
@@ -416,6 +424,14 @@
 	v.Service, v.up = "another service", false
 }
 
+// addMove lists a later lifetime of a server, which goes on running, at another address, where another process answers.
+func (sim *simulation) addMove(of *simServer) {
+	sim.listed[of.Lifetime()] = false
+	v := sim.addServerAt(of.ID, of.Incarnation+1, of.Address+" elsewhere")
+	v.up = false
+	sim.occupants[v.Address] = &simServer{Target: routing.Target{ID: "other", Address: v.Address}, up: true}
+}
+
 func (sim *simulation) addServerAt(id string, incarnation int64, address string) *simServer {
 	t := routing.Target{ID: id, Incarnation: incarnation, Service: service, Address: address, Slots: 1}
 	if occupant := sim.occupants[address]; occupant != nil {
--- a/ownership/rangelease/span.go
+++ b/ownership/rangelease/span.go
@@ -15,6 +15,9 @@
 	holder routing.Lifetime
 	// previous may still hold the span. It is the zero Lifetime if only holder can.
 	previous routing.Lifetime
+	// previousUncertain is set if previous may be a later lifetime with the ID of the actual previous
+	// holder. Its entry may be wrong, so only its release proves that the span is free.
+	previousUncertain bool
 	// plannedHolder is the next holder, which is not in the stored record yet.
 	plannedHolder routing.Lifetime
 	// moveInWrite is true while a record with plannedHolder as the holder is being written.
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -112,17 +112,21 @@
 		possibleHolder = g.possibleHolder(s.previous, s.holder)
 	}
 	switch {
-	case now >= s.previousLatestExpiry || possibleHolder == (routing.Lifetime{}):
+	case now >= s.previousLatestExpiry:
 		g.finishRelease(now, s, "")
+	case possibleHolder == (routing.Lifetime{}):
+		if !s.previousUncertain {
+			g.finishRelease(now, s, "")
+		}
 	case possibleHolder != s.previous:
-		s.previous, s.outstandingCall, s.nextCallAt = possibleHolder, 0, now
+		s.previous, s.previousUncertain, s.outstandingCall, s.nextCallAt = possibleHolder, true, 0, now
 	}
 }
 
 // finishRelease ends the wait for the previous holder: it has released the span and returned
 // the handover token, or it cannot hold the span any more and there is no token.
 func (g *Grantor) finishRelease(now lease.Instant, s *leasedSpan, handover string) {
-	s.previous, s.handover, s.outstandingCall, s.nextCallAt = routing.Lifetime{}, handover, 0, now
+	s.previous, s.previousUncertain, s.handover, s.outstandingCall, s.nextCallAt = routing.Lifetime{}, false, handover, 0, now
 	g.deferWrite(now)
 }
 
@@ -250,21 +254,15 @@
 	}
 }
 
-// markEnded records that another lifetime has answered a call to a target.
-func (g *Grantor) markEnded(id routing.Lifetime) {
-	if state := g.targets[id]; state != nil {
-		state.ended = true
-	}
-}
-
 func (g *Grantor) applyCallResult(now lease.Instant, s *leasedSpan, outcome Outcome, handover string) {
 	s.outstandingCall = 0
 	if s.isMoving() {
-		switch outcome {
-		case Done:
+		state := g.targets[s.previous]
+		switch {
+		case outcome == Done:
 			g.finishRelease(now, s, handover)
-		case Ended:
-			g.markEnded(s.previous)
+		case outcome == Ended && state != nil && !s.previousUncertain:
+			state.ended = true
 			s.nextCallAt = now // another lifetime with its ID may have to be asked
 			g.checkPrevious(now, s)
 		default:
@@ -282,7 +280,9 @@
 		s.confirmedUntil, s.handover = s.callSentAt+s.callLeaseDuration, ""
 		s.nextCallAt = s.callSentAt + g.renewInterval(s.service)
 	case Ended:
-		g.markEnded(s.holder)
+		if state := g.targets[s.holder]; state != nil {
+			state.ended = true
+		}
 		s.nextCallAt = now + g.options.RetryInterval
 	case Fenced:
 		// This grantor's own earlier calls for the span have lower tokens, so the token
@@ -358,7 +358,7 @@
 		g.onMove(s.service, s.Span, s.holder, s.plannedHolder, s.reason)
 	}
 	if previous := g.possibleHolder(s.holder, s.plannedHolder); previous != (routing.Lifetime{}) {
-		s.previous, s.previousLatestExpiry = previous, s.latestExpiry
+		s.previous, s.previousUncertain, s.previousLatestExpiry = previous, previous != s.holder, s.latestExpiry
 		s.releaseToken = g.nextFencingToken()
 	}
 	s.holder, s.plannedHolder, s.moveInWrite = s.plannedHolder, routing.Lifetime{}, false
