--- a/review/.uptime/main.go
+++ b/review/.uptime/main.go
@@ -1,4 +1,4 @@
-// Command uptime plays review case 11: the fences of a leader that has led for days, and the change to the next leader.
+// Command uptime plays review case 12: the fences of a leader that has led for days, and the change to the next leader.
 //
 // The history before the run comes from the project's own rangelease.Grantor, which this program drives in simulated
 // time. The run itself is real: boragegate-edge processes, a store, targets and clients on loopback addresses.
