Wait for all leases of a leader whose address refuses connections

Cause: a refused connection to the leader's address counted as proof that its process had ended, so its successor waited only for the leases that it last announced (3.5 s) instead of all that a leader without the store may renew (20.2 s). A partition that resets connections looks the same while the leader goes on renewing.

Change: the refusal still allows a takeover at once. The wait becomes short only with proof: a later process answers at the leader's address, or connects from it after the takeover (Grantor.ReportPredecessorEnded), or the leader has resigned at its end (stateUpdate.Resigned). leader.became and leader.predecessor_ended log it.

Without a restart the keys of a target that crashed with the leader wait 20 s; that is the price.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -33,8 +33,8 @@
 	storeReachableWindow = time.Second
 	// outstandingLeasesHorizon is the time after a state update up to which its outstanding
 	// leases are complete: they include all leases that the leader grants until then. It is
-	// longer than a takeover from a leader that exited takes, even by an instance with
-	// little capacity. It is shorter than the time without the store after which the leader
+	// longer than the restart of a leader's process and a takeover take, even by an instance
+	// with little capacity. It is shorter than the time without the store after which the leader
 	// grants longer leases (see package rangelease).
 	outstandingLeasesHorizon = 1500 * time.Millisecond
 	// sweepInterval is the interval at which expired idle connections to targets are closed.
@@ -135,11 +135,13 @@
 	leaderStoreUnreachable bool
 	takingOver             bool
 
-	// leaderEnded is set if the leader's process has exited: its address refuses
+	// leaderPresumedEnded is set if the leader's process has probably ended: its address refuses
 	// connections, or a later process answers there.
-	leaderEnded    bool
-	leaderLeases   rangelease.OutstandingLeases // outstanding leases in the state update received at leaderLeasesAt
-	leaderLeasesAt time.Duration
+	leaderPresumedEnded bool
+	// leaderEnded is set if the leader is proven to grant no more leases: it has resigned because its
+	// process ends, or a later process answers at its address.
+	leaderEnded  bool
+	leaderLeases announcedLeases
 
 	lastReportAt time.Duration // last load report to the leader
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -55,6 +56,10 @@
 	stopReserve = 300 * time.Millisecond
 	// closeTimeout bounds the wait for responses to the requests that were read last.
 	closeTimeout = 200 * time.Millisecond
+	// resignTimeout bounds the wait until the followers of a leader that ends have been told. It and
+	// closeTimeout fit into stopReserve.
+	resignTimeout      = 50 * time.Millisecond
+	resignPollInterval = 2 * time.Millisecond
 	// drainPollInterval is the interval at which a stopping instance checks for requests in
 	// flight.
 	drainPollInterval = 20 * time.Millisecond
@@ -350,9 +355,29 @@
 	return i.close()
 }
 
+// resign tells the followers, if this instance leads, that it grants no more leases. It returns when
+// they have been told, or after resignTimeout.
+func (i *Instance) resign() {
+	told := make(chan []*follower, 1)
+	i.control.t.Go(func() error { // the control loop may be busy for longer than resignTimeout
+		i.control.post(func() { told <- i.control.resign() })
+		return nil
+	})
+	deadline := time.Now().Add(resignTimeout)
+	var followers []*follower
+	select {
+	case followers = <-told:
+	case <-time.After(resignTimeout):
+	}
+	isOpen := func(f *follower) bool { return !f.closed.Load() }
+	for slices.ContainsFunc(followers, isOpen) && time.Now().Before(deadline) {
+		time.Sleep(resignPollInterval)
+	}
+}
+
 func (i *Instance) close() error {
 	i.rejecting.Store(true)
-	// Closing the peer port tells the other instances that this one sends no more grants.
+	i.resign()
 	i.control.t.Kill(nil)
 	errs := []error{i.callerListener.Close(), i.peerListener.Close()}
 	// Requests that were read before this point are still answered.
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -16,7 +16,7 @@
 // electionView returns the state that the elector bases its decisions on.
 func (c *controlLoop) electionView(now time.Duration) election.View {
 	v := election.View{
-		LeaderHeardAt: c.lastUpdateAt, ConfigConfirmedAt: c.leaderConfigConfirmedAt, LeaderStoreAnswerAt: c.leaderStoreAnswerAt, LeaderRefused: c.leaderRefused, LeaderEnded: c.leaderEnded, LeaderStoreUnreachable: c.leaderStoreUnreachable,
+		LeaderHeardAt: c.lastUpdateAt, ConfigConfirmedAt: c.leaderConfigConfirmedAt, LeaderStoreAnswerAt: c.leaderStoreAnswerAt, LeaderRefused: c.leaderRefused, LeaderPresumedEnded: c.leaderPresumedEnded, LeaderStoreUnreachable: c.leaderStoreUnreachable,
 		RecordKnown: c.recordWasRead, RecordRestored: c.recordRestored, StoreReachable: c.reachesStore(now),
 	}
 	if c.link == nil {
@@ -228,10 +228,8 @@
 	if version <= c.recordVersion || c.leadership != nil {
 		return
 	}
-	predecessor := c.predecessor()
-	var replaced rangelease.InstanceInfo
-	if c.record != nil && c.record.Leader.ID != c.self.ID {
-		replaced = c.record.Leader
+	replaced, known := c.predecessor(socket.BootTime())
+	if replaced.ID != "" {
 		c.t.Go(func() error {
 			c.sendLeaderInfo(replaced.Address, leaderInfo{Term: r.Term, Leader: r.Leader})
 			return nil
@@ -244,9 +242,11 @@
 		c.link = nil
 	}
 	c.elector.ClearSuspicion()
-	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Bool("holders_unknown", r.HoldersUnknown).Send()
 	c.isLeader.Store(true)
-	c.leadership = newLeadership(c, sentAt, r, version, predecessor)
+	c.leadership = newLeadership(c, sentAt, r, version, known)
+	c.leadership.predecessor = replaced
+	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Bool("holders_unknown", r.HoldersUnknown).Str("predecessor", replaced.ID).
+		Bool("predecessor_ended", known.Ended).Dur("earlier_leases_ms", c.leadership.grantor.OutstandingLeases(socket.BootTime(), 0).Earlier).Send()
 	if replaced.Address != "" { // it is told again until it follows, because it may be too busy to accept a connection now
 		c.leadership.lostFollowers[replaced.ID] = lostFollower{address: replaced.Address, notifyUntil: socket.BootTime() + lostFollowerRetention}
 	}
@@ -258,15 +258,6 @@
 	c.watchConfigAndTargets()
 }
 
-// predecessor returns what is known about the leader that this instance replaces.
-func (c *controlLoop) predecessor() rangelease.Predecessor {
-	leasesAge := socket.BootTime() - c.leaderLeasesAt
-	if !c.leaderEnded || leasesAge > outstandingLeasesHorizon {
-		return rangelease.Predecessor{}
-	}
-	return rangelease.Predecessor{Ended: true, Leases: c.leaderLeases}
-}
-
 // stepDown ends the leadership of this instance.
 func (c *controlLoop) stepDown(reason string) {
 	if c.leadership == nil {
@@ -325,7 +316,7 @@
 	}
 	c.elector.ReportLeaderChange(socket.BootTime())
 	c.lastUpdateAt, c.leaderStoreAnswerAt, c.leaderRefused, c.leaderStoreUnreachable = 0, 0, false, false
-	c.leaderEnded, c.leaderLeasesAt = false, 0
+	c.leaderPresumedEnded, c.leaderEnded, c.leaderLeases = false, false, announcedLeases{}
 	c.log.Info().Str("event", "leader.seen").Str("leader", r.Leader.ID).Uint64("term", r.Term).Send()
 	c.connectToLeader()
 }
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -169,6 +169,7 @@
 	}
 	l.links[f.ID] = f
 	l.joining[f] = struct{}{}
+	l.checkPredecessorEnded(now, f)
 	l.send(stateUpdate{}, f)
 	l.sendInitialState(now)
 }
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -195,14 +195,15 @@
 	l.stateReceived = false
 	// A connection that is reset before the leader has sent a state update counts as
 	// refused: the instance there may have stopped listening without accepting it.
-	c.leaderRefused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errNotLeader) || errors.Is(err, syscall.ECONNRESET) && c.lastUpdateAt == 0
+	c.leaderRefused = c.leaderEnded || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errNotLeader) || errors.Is(err, syscall.ECONNRESET) && c.lastUpdateAt == 0
 	c.log.Warn().Str("event", "leader.link_lost").Str("leader", l.leader.ID).Bool("refused", c.leaderRefused).Err(err).Send()
 	if c.leaderRefused {
 		c.lastUpdateAt = 0
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errLeaderRestarted) {
-		c.leaderEnded = true
-		c.runElection(socket.BootTime()) // the leader's process has exited, so a takeover need not wait
+	c.leaderEnded = c.leaderEnded || errors.Is(err, errLeaderRestarted)
+	if c.leaderEnded || errors.Is(err, syscall.ECONNREFUSED) {
+		c.leaderPresumedEnded = true
+		c.runElection(socket.BootTime()) // a takeover need not wait
 	}
 }
 
@@ -214,8 +215,8 @@
 	now := socket.BootTime()
 	c.adoptEra(now, update)
 	c.term, c.lastUpdateAt, c.leaderStoreAnswerAt, c.leaderRefused = update.Term, now, now-update.StoreAge, false
-	c.leaderStoreUnreachable, c.leaderEnded = update.StoreUnreachable, false
-	c.leaderLeases, c.leaderLeasesAt = update.OutstandingLeases, now
+	c.leaderStoreUnreachable, c.leaderPresumedEnded, c.leaderEnded = update.StoreUnreachable, false, false
+	c.leaderLeases = announcedLeases{leases: update.OutstandingLeases, at: now}
 	if !update.StoreUnreachable {
 		c.targets.setKeepMissingFor(now, update.KeepMissing)
 	}
@@ -272,6 +273,10 @@
 		}
 		c.applyOwners(changed)
 	}
+	if update.Resigned {
+		c.leaderEnded, c.leaderPresumedEnded, c.leaderRefused, c.lastUpdateAt = true, true, true, 0
+		c.runElection(now)
+	}
 	if update.Successor == c.self.ID && !c.takingOver && !c.stopping {
 		c.takeOverAsSuccessor()
 	}
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -96,6 +96,7 @@
 	publishedCandidates []rangelease.InstanceInfo // as last published
 	startedAt           time.Duration
 	lostFollowers       map[string]lostFollower // by instance
+	predecessor         replacedLeader
 	lastNotifyAt        time.Duration
 	lastHeartbeatAt     time.Duration
 	lastPublishAt       time.Duration
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -135,6 +135,8 @@
 	// Evacuations has the states of all zones after a change. New followers get it too, unless the
 	// leader has not read the evacuations yet.
 	Evacuations *evacuationUpdate `msgpack:"x,omitempty"`
+	// Resigned is set in the last update of a leader whose process ends. It grants no more leases.
+	Resigned bool `msgpack:"q,omitempty"`
 	// Successor is the ID of the instance that is to take over from this leader. The leader
 	// leads until the successor has done so.
 	Successor string `msgpack:"s,omitempty"`
--- /dev/null
+++ b/internal/edge/predecessor.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/boragegate/boragegate/ownership/rangelease"
+)
+
+// A new leader waits for the leases of the one that it replaces before it grants their keys to
+// others. The wait is short only if the replaced leader is proven to grant no more leases: it has said
+// so at its end, or a later process at its address answers or connects. A refused or reset connection is enough to take
+// over, but not for this, because a partition causes it too while the leader renews the leases of the
+// targets on its side.
+
+// announcedLeases are the leases that a leader has announced to leave active when it ends.
+type announcedLeases struct {
+	leases rangelease.OutstandingLeases
+	at     time.Duration // when the update with the announcement was made, 0 if there is none
+}
+
+// afterEnd returns what is known about a leader that has ended at an unknown time before now.
+func (a announcedLeases) afterEnd(now time.Duration, options rangelease.Options) rangelease.Predecessor {
+	if a.at == 0 {
+		return rangelease.Predecessor{}
+	}
+	leases := a.leases
+	if now-a.at > outstandingLeasesHorizon {
+		leases.Hold = options.OutageLeaseDuration // it may have lost the store before it ended
+	}
+	return rangelease.Predecessor{Ended: true, Leases: leases}
+}
+
+// replacedLeader is the leader that this instance has replaced.
+type replacedLeader struct {
+	rangelease.InstanceInfo
+	announced announcedLeases
+	// ended is set when it is proven to grant no more leases.
+	ended bool
+}
+
+// predecessor returns the leader that this instance is about to replace, and what is known about
+// its leases.
+func (c *controlLoop) predecessor(now time.Duration) (replacedLeader, rangelease.Predecessor) {
+	p := replacedLeader{announced: c.leaderLeases, ended: c.leaderEnded}
+	if c.record != nil && c.record.Leader.ID != c.self.ID {
+		p.InstanceInfo = c.record.Leader
+	}
+	if !p.ended {
+		return p, rangelease.Predecessor{}
+	}
+	return p, p.announced.afterEnd(now, grantOptions(c))
+}
+
+// resign ends the leadership of an instance whose process ends, and tells the followers. It returns
+// their connections, which close when they have been told.
+func (c *controlLoop) resign() []*follower {
+	if c.leadership == nil {
+		return nil
+	}
+	l := c.leadership
+	followers := l.followerList()
+	l.cancel() // open calls fail, and none is sent from now on
+	l.broadcast(stateUpdate{Resigned: true})
+	c.stepDown("the process ends")
+	return followers
+}
+
+// checkPredecessorEnded shortens the wait for the leases of the replaced leader if a follower is a
+// later process at its address, which cannot listen there before the earlier one has ended.
+func (l *leadership) checkPredecessorEnded(now time.Duration, f *follower) {
+	p := &l.predecessor
+	if p.ended || p.Address == "" || f.Address != p.Address || f.Incarnation <= p.Incarnation {
+		return
+	}
+	p.ended = true
+	known := p.announced.afterEnd(now, grantOptions(l.c))
+	if known.Ended {
+		l.grantor.ReportPredecessorEnded(now, known.Leases)
+	}
+	l.c.log.Info().Str("event", "leader.predecessor_ended").Str("instance", f.ID).Uint64("term", l.grantor.Term()).
+		Bool("leases_known", known.Ended).Dur("earlier_leases_ms", l.grantor.OutstandingLeases(now, 0).Earlier).Send()
+}
--- a/ownership/election/election.go
+++ b/ownership/election/election.go
@@ -51,7 +51,7 @@
 	// another instance may take over.
 	LeaderStoreTimeout time.Duration
 	// RefusedTakeoverDelay is the takeover delay if View.LeaderRefused is true but the
-	// leader's process is not known to have ended. Meanwhile its instance may learn that it
+	// leader's process is not presumed to have ended. Meanwhile its instance may learn that it
 	// does lead, or may reach the store again.
 	RefusedTakeoverDelay time.Duration
 	// SilentTakeoverDelay is the time between the start of the suspicion of a silent leader
@@ -172,9 +172,10 @@
 	// LeaderRefused is true if the leader's address refuses connections or its instance
 	// says that it does not lead.
 	LeaderRefused bool
-	// LeaderEnded is true if the leader's process has ended: its address refuses
-	// connections, or a later process answers there.
-	LeaderEnded bool
+	// LeaderPresumedEnded is true if the leader's process has probably ended: its address refuses
+	// connections, or a later process answers there. A partition may refuse connections too; then
+	// the leader goes on until it learns of its successor.
+	LeaderPresumedEnded bool
 	// LeaderStoreUnreachable is true if the store does not answer the leader.
 	LeaderStoreUnreachable bool
 	// RecordKnown is true if the record was read or is known not to exist.
@@ -380,7 +381,7 @@
 
 // candidatesAhead returns the number of candidates that are expected to take over before this
 // instance: those before it in the list or, if it is not in the list, all. Those that refuse
-// connections do not count, nor does a leader whose process has ended.
+// connections do not count, nor does a leader whose process has probably ended.
 func (e *Elector) candidatesAhead(now lease.Instant, v View) int {
 	n := 0
 	for i, c := range e.candidates {
@@ -388,7 +389,7 @@
 			break
 		}
 		lastRefusedAt, refused := e.refusedAt[c.Address]
-		if c.ID == v.Leader.ID && !v.LeaderEnded || c.ID != v.Leader.ID && (!refused || now-lastRefusedAt > e.options.RefusalTTL) {
+		if c.ID == v.Leader.ID && !v.LeaderPresumedEnded || c.ID != v.Leader.ID && (!refused || now-lastRefusedAt > e.options.RefusalTTL) {
 			n++
 		}
 	}
@@ -422,14 +423,14 @@
 	}
 	delay := e.options.SilentTakeoverDelay
 	switch {
-	case v.LeaderEnded:
+	case v.LeaderPresumedEnded:
 		delay = 0
 	case v.LeaderRefused:
 		delay = e.options.RefusedTakeoverDelay
 	case v.LeaderStoreUnreachable:
 		delay = e.options.StoreRecoveryGrace
 	}
-	if v.RecordRestored && !v.LeaderEnded && !v.LeaderRefused {
+	if v.RecordRestored && !v.LeaderPresumedEnded && !v.LeaderRefused {
 		delay += e.options.RestoredRecordDelay
 	}
 	if e.rank >= 0 {
--- a/ownership/election/election_test.go
+++ b/ownership/election/election_test.go
@@ -192,7 +192,7 @@
 	if m.view.Leader == l {
 		return
 	}
-	m.view.Leader, m.view.LeaderHeardAt, m.view.LeaderRefused, m.view.LeaderEnded, m.view.LeaderStoreUnreachable = l, 0, false, false, false
+	m.view.Leader, m.view.LeaderHeardAt, m.view.LeaderRefused, m.view.LeaderPresumedEnded, m.view.LeaderStoreUnreachable = l, 0, false, false, false
 	m.elector.ReportLeaderChange(c.now)
 	m.tickDue = true
 	if m.leads {
@@ -244,7 +244,7 @@
 }
 
 func (c *cluster) deliverStateUpdate(l, m *simInstance) {
-	m.view.LeaderHeardAt, m.view.LeaderStoreUnreachable, m.view.LeaderRefused, m.view.LeaderEnded = c.now, !l.view.StoreReachable, false, false
+	m.view.LeaderHeardAt, m.view.LeaderStoreUnreachable, m.view.LeaderRefused, m.view.LeaderPresumedEnded = c.now, !l.view.StoreReachable, false, false
 	if l.view.StoreReachable {
 		m.view.LeaderStoreAnswerAt = c.now
 	}
@@ -359,7 +359,7 @@
 		m.tickDue = false
 		if l := c.instanceAt(m.view.Leader.Address); l != nil && l != m && !m.isolated && !l.isolated && !l.frozen {
 			ended := !l.up || l.Incarnation > m.view.Leader.Incarnation
-			if m.view.LeaderEnded = ended; ended || !l.leads {
+			if m.view.LeaderPresumedEnded = ended; ended || !l.leads {
 				m.view.LeaderRefused, m.view.LeaderHeardAt = true, 0
 			}
 		}
--- a/ownership/election/restored_test.go
+++ b/ownership/election/restored_test.go
@@ -18,7 +18,7 @@
 	takeoverAfter := func(restored, ended bool) time.Duration {
 		e := election.New(election.DefaultOptions, 0, self, func() float64 { return 0.5 })
 		e.SetCandidates([]rangelease.InstanceInfo{leader, self})
-		v := election.View{Leader: leader, LeaderStoreUnreachable: true, LeaderEnded: ended, RecordKnown: true, StoreReachable: true, RecordRestored: restored}
+		v := election.View{Leader: leader, LeaderStoreUnreachable: true, LeaderPresumedEnded: ended, RecordKnown: true, StoreReachable: true, RecordRestored: restored}
 		for now := 10 * time.Millisecond; ; now += 10 * time.Millisecond {
 			if e.Tick(now, v).TakeOver {
 				return now
--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -139,20 +139,21 @@
 	outageLeasesExpiry     lease.Instant // when all leases with OutageLeaseDuration have expired
 	// earlierLeasesExpiry is the time at which all leases of earlier grantors have expired.
 	earlierLeasesExpiry lease.Instant
-	// holdersUnknownUntil is the time until which any target may hold keys of a service that has
-	// no spans yet; 0 if none can.
-	holdersUnknownUntil lease.Instant
-	actions             []Action
-	hasDueCalls         bool // see HasDueCalls
-	nextProbesAt        lease.Instant
-	nextWriteAt         lease.Instant
-	onMove              func(service string, s routing.Span, from, to routing.Lifetime, reason string)
+	// holdersUnknown is true if any target may hold keys of a service that has no spans yet, until
+	// earlierLeasesExpiry.
+	holdersUnknown bool
+	actions        []Action
+	hasDueCalls    bool // see HasDueCalls
+	nextProbesAt   lease.Instant
+	nextWriteAt    lease.Instant
+	onMove         func(service string, s routing.Span, from, to routing.Lifetime, reason string)
 }
 
 // Predecessor is what is known about the previous grantor. The zero value stands for one
 // that may still run without access to the store.
 type Predecessor struct {
-	// Ended is true if the process of the previous grantor has ended.
+	// Ended is true if the process of the previous grantor is proven to have ended. A refused
+	// connection is no proof: a partition may reset connections to a process that still runs.
 	Ended bool
 	// Leases describes the leases that it may have left active. It is used only if Ended is
 	// true.
@@ -180,21 +181,18 @@
 		targetsByID: map[string][]*targetState{}, targetsByAddress: map[string][]*targetState{},
 		suspected: map[routing.Lifetime]*targetState{}, spansByCall: map[uint64]*leasedSpan{},
 	}
-	inherited := now + options.TermConfirmationTimeout + g.grantorLeaseDuration(options.OutageLeaseDuration)
-	if predecessor.Ended {
-		inherited = min(inherited, now+max(predecessor.Leases.Earlier, options.CallTimeout+g.grantorLeaseDuration(predecessor.Leases.Hold)))
-	}
 	if len(r.Services) > 0 || r.HoldersUnknown {
-		g.earlierLeasesExpiry = inherited
+		g.earlierLeasesExpiry = now + options.TermConfirmationTimeout + g.grantorLeaseDuration(options.OutageLeaseDuration)
 	}
-	if r.HoldersUnknown {
-		g.holdersUnknownUntil = inherited
+	if predecessor.Ended {
+		g.ReportPredecessorEnded(now, predecessor.Leases)
 	}
+	g.holdersUnknown = r.HoldersUnknown
 	for name, entries := range r.Services {
 		for _, e := range entries {
-			s := &leasedSpan{Span: e.Span, service: name, holder: e.Holder, latestExpiry: inherited, inherited: true, nextCallAt: now, reason: e.Reason, term: e.Term}
+			s := &leasedSpan{Span: e.Span, service: name, holder: e.Holder, inherited: true, nextCallAt: now, reason: e.Reason, term: e.Term}
 			if e.Previous != nil {
-				s.previous, s.previousUncertain, s.previousLatestExpiry = *e.Previous, true, inherited
+				s.previous, s.previousUncertain, s.previousInherited = *e.Previous, true, true
 				s.releaseToken = g.nextFencingToken()
 			}
 			g.spans[name] = append(g.spans[name], s)
@@ -204,6 +202,13 @@
 	return g
 }
 
+// ReportPredecessorEnded reports that the process of the previous grantor is proven to have ended
+// by now, and the leases that it may have left active.
+func (g *Grantor) ReportPredecessorEnded(now lease.Instant, leases OutstandingLeases) {
+	expiry := now + max(leases.Earlier, g.options.CallTimeout+g.grantorLeaseDuration(leases.Hold))
+	g.earlierLeasesExpiry = min(g.earlierLeasesExpiry, expiry)
+}
+
 // OnMove sets the function that ReportWriteResult calls for each move that was stored. It gets
 // the previous and the new holder and the reason; see Entry.Reason.
 func (g *Grantor) OnMove(f func(service string, s routing.Span, from, to routing.Lifetime, reason string)) {
@@ -218,6 +223,24 @@
 	return config.GrantorDuration()
 }
 
+// latestExpiry returns the time at which every lease that the holder of a span may have has expired;
+// 0 if no grant was sent to it.
+func (g *Grantor) latestExpiry(s *leasedSpan) lease.Instant {
+	if s.inherited {
+		return max(s.latestExpiry, g.earlierLeasesExpiry)
+	}
+	return s.latestExpiry
+}
+
+// previousLatestExpiry returns the time at which every lease that the previous holder of a span may
+// have has expired.
+func (g *Grantor) previousLatestExpiry(s *leasedSpan) lease.Instant {
+	if s.previousInherited {
+		return max(s.previousLatestExpiry, g.earlierLeasesExpiry)
+	}
+	return s.previousLatestExpiry
+}
+
 func (g *Grantor) nextFencingToken() uint64 {
 	g.tokensIssued++
 	return g.term<<termShift | g.tokensIssued
@@ -276,7 +299,9 @@
 // dropWithdrawnServices drops the spans of withdrawn services whose leases have expired.
 func (g *Grantor) dropWithdrawnServices(now lease.Instant) {
 	for name := range g.withdrawnServices {
-		mayBeLeased := func(s *leasedSpan) bool { return now < s.latestExpiry || s.isMoving() && now < s.previousLatestExpiry }
+		mayBeLeased := func(s *leasedSpan) bool {
+			return now < g.latestExpiry(s) || s.isMoving() && now < g.previousLatestExpiry(s)
+		}
 		if slices.ContainsFunc(g.spans[name], mayBeLeased) {
 			continue
 		}
@@ -526,7 +551,7 @@
 // buildRecord returns the record to store, in which the planned holders of the moves that are
 // being written are the holders.
 func (g *Grantor) buildRecord(now lease.Instant) *Record {
-	r := &Record{Term: g.term, Leader: g.leader, Candidates: g.candidates, InstanceCount: g.instanceCount, Profiles: g.profiles, HoldersUnknown: now < g.holdersUnknownUntil, Services: map[string][]Entry{}}
+	r := &Record{Term: g.term, Leader: g.leader, Candidates: g.candidates, InstanceCount: g.instanceCount, Profiles: g.profiles, HoldersUnknown: g.holdersUnknown && now < g.earlierLeasesExpiry, Services: map[string][]Entry{}}
 	for name, spans := range g.spans {
 		for _, s := range spans {
 			e := Entry{Span: s.Span, Holder: s.holder, Reason: s.reason, Term: s.term}
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -102,7 +102,7 @@
 			sim.servers[routing.Lifetime{ID: "t2", Incarnation: 1}].Draining = true
 			sim.run(time.Second)
 			sim.restoreStore()
-			sim.endAndReplaceGrantor()
+			sim.endAndReplaceGrantor(0)
 			sim.run(4 * time.Second)
 			Expect(sim.servedEighths()).To(Equal(8))
 		})
@@ -117,9 +117,9 @@
 		sim.run(time.Second)
 		sim.addServer("t9", 1) // the keys would be divided otherwise now
 		sim.restoreStore()
-		sim.endAndReplaceGrantor()
+		sim.endAndReplaceGrantor(0)
 		sim.run(100 * time.Millisecond)
-		sim.endAndReplaceGrantor()
+		sim.endAndReplaceGrantor(0)
 		sim.run(4 * time.Second)
 		Expect(sim.servedEighths()).To(Equal(8))
 		sim.run(2 * time.Second)
@@ -154,7 +154,7 @@
 		Entry("within the time of a lease", func(sim *simulation) { sim.run(time.Second) }),
 		Entry("after another instance has begun to lead", func(sim *simulation) {
 			sim.run(1200 * time.Millisecond) // a record is written meanwhile
-			sim.endAndReplaceGrantor()
+			sim.endAndReplaceGrantor(0)
 			sim.run(100 * time.Millisecond)
 		}),
 	)
@@ -298,13 +298,35 @@
 		})
 	})
 
-	It("moves the keys of a server that crashed together with the grantor when their leases have expired", func() {
+	DescribeTable("moves the keys of a server that crashed together with the grantor when their leases have expired",
 		// Guards against keys without a holder for 20 s, because the new grantor waits for
 		// renewals by the old one although the process of the old one is known to have ended.
+		func(knownAfter time.Duration) {
+			runScenario(func(sim *simulation) {
+				sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}].up = false
+				sim.endAndReplaceGrantor(knownAfter)
+				sim.run(5*time.Second + knownAfter)
+				Expect(sim.servedEighths()).To(Equal(8))
+			})
+		},
+		Entry("before the takeover", time.Duration(0)),
+		Entry("while no move has begun", 10*time.Millisecond),
+		Entry("while the keys are being moved", 3*time.Second),
+	)
+
+	It("waits for renewals by a grantor that is not known to have ended", func() {
+		// Guards against two holders of a key: a partition resets connections, so the grantor on its other side, which renews
+		// the leases of the servers there, looks as if its process had ended.
 		runScenario(func(sim *simulation) {
-			sim.servers[routing.Lifetime{ID: "t1", Incarnation: 1}].up = false
-			sim.endAndReplaceGrantor()
-			sim.run(5 * time.Second)
+			first, second := sim.instances[0], sim.instances[1]
+			first.storeUnreachable, first.uninformed = true, true
+			first.unreachable["t2"], first.unreachable["t3"] = true, true
+			second.unreachable["t0"], second.unreachable["t1"] = true, true
+			sim.takeOver(second)
+			sim.run(11 * time.Second)
+			Expect(sim.servedEighths()).To(Equal(8))
+			first.grantor = nil
+			sim.run(15 * time.Second)
 			Expect(sim.servedEighths()).To(Equal(8))
 		})
 	})
@@ -441,7 +463,7 @@
 	case kind == 4:
 		sim.unansweredPercent = 40 - sim.unansweredPercent
 	case kind == 10:
-		sim.endAndReplaceGrantor()
+		sim.endAndReplaceGrantor(time.Duration(rapid.IntRange(0, 3).Draw(sim.t, "known after")) * time.Second)
 	case v == nil:
 	case kind == 5:
 		in.unreachable[v.ID] = !in.unreachable[v.ID]
--- a/ownership/rangelease/restore.go
+++ b/ownership/rangelease/restore.go
@@ -45,18 +45,18 @@
 // unassignedSpan returns the span of a service that the grantor has no spans of.
 func (g *Grantor) unassignedSpan(service string) *leasedSpan {
 	s := &leasedSpan{Span: routing.Span{To: routing.KeyCount - 1}, service: service}
-	if g.holdersUnknownUntil > 0 {
-		s.previous, s.previousLatestExpiry = unknownTarget, g.holdersUnknownUntil
+	if g.holdersUnknown {
+		s.previous, s.previousInherited = unknownTarget, true
 	}
 	return s
 }
 
 // endUnknownHolders removes the mark of the record when the leases of unknown holders have expired.
 func (g *Grantor) endUnknownHolders(now lease.Instant) {
-	if g.holdersUnknownUntil == 0 || now < g.holdersUnknownUntil {
+	if !g.holdersUnknown || now < g.earlierLeasesExpiry {
 		return
 	}
-	g.holdersUnknownUntil = 0
+	g.holdersUnknown = false
 	g.deferWrite(now)
 }
 
--- a/ownership/rangelease/simulation_test.go
+++ b/ownership/rangelease/simulation_test.go
@@ -132,15 +132,22 @@
 func (sim *simulation) takeOver(in *simInstance) { sim.takeOverFrom(in, rangelease.Predecessor{}) }
 
 // endAndReplaceGrantor ends the process of the grantor and makes the other instance the grantor,
-// which knows that the process has ended.
-func (sim *simulation) endAndReplaceGrantor() {
+// which learns after the given time that the process has ended.
+func (sim *simulation) endAndReplaceGrantor(knownAfter time.Duration) {
 	for n, in := range sim.instances {
 		if in.grantor == nil || in != sim.leader {
 			continue
 		}
-		predecessor := rangelease.Predecessor{Ended: true, Leases: in.grantor.OutstandingLeases(sim.now, 0)}
+		leases, next := in.grantor.OutstandingLeases(sim.now, 0), sim.instances[1-n]
 		in.grantor, in.frozen = nil, false
-		sim.takeOverFrom(sim.instances[1-n], predecessor)
+		if knownAfter == 0 {
+			sim.takeOverFrom(next, rangelease.Predecessor{Ended: true, Leases: leases})
+			return
+		}
+		sim.takeOver(next)
+		if g := next.grantor; sim.leader == next {
+			sim.schedule(knownAfter, func() { g.ReportPredecessorEnded(sim.now, leases) })
+		}
 		return
 	}
 }
--- a/ownership/rangelease/span.go
+++ b/ownership/rangelease/span.go
@@ -30,17 +30,18 @@
 	// handover is the token that previous returned. It is sent with the grants until one
 	// of them is carried out.
 	handover string
-	// latestExpiry is the time at which every lease that holder may have has expired; 0 if
-	// no grant was sent to it.
+	// latestExpiry is the time at which every lease that this grantor may have given to holder has
+	// expired; 0 if it has sent no grant. Grantor.latestExpiry includes those of earlier grantors.
 	latestExpiry lease.Instant
 	// confirmedUntil is the time until which holder is known to have a lease; 0 if it has
 	// not carried out a grant of this grantor.
 	confirmedUntil lease.Instant
-	// inherited is true if grants of an earlier grantor may still reach holder.
+	// inherited is true if grants of an earlier grantor may still reach holder, until
+	// Grantor.earlierLeasesExpiry.
 	inherited bool
-	// previousLatestExpiry is the time at which every lease that previous may have has
-	// expired.
+	// previousLatestExpiry and previousInherited are latestExpiry and inherited of previous.
 	previousLatestExpiry lease.Instant
+	previousInherited    bool
 	// releaseToken is the fencing token of releases to previous.
 	releaseToken uint64
 
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -76,7 +76,7 @@
 	if s.outstandingCall != 0 || now < s.nextCallAt || g.withdrawnServices[s.service] {
 		return false
 	}
-	if g.movesSuspended && (s.isMoving() || s.latestExpiry == 0) {
+	if g.movesSuspended && (s.isMoving() || g.latestExpiry(s) == 0) {
 		return false // only leases that were granted are renewed
 	}
 	if s.isMoving() {
@@ -87,7 +87,7 @@
 	switch {
 	case state == nil || state.isReplaced():
 		return false
-	case s.plannedHolder != (routing.Lifetime{}) && s.latestExpiry == 0:
+	case s.plannedHolder != (routing.Lifetime{}) && g.latestExpiry(s) == 0:
 		return false // a holder that cannot have a lease yet gets none if a move of the span is planned
 	}
 	// A grant to a target that may have failed would only delay the expiry of its lease.
@@ -112,7 +112,7 @@
 		possibleHolder = g.possibleHolder(s.previous, s.holder)
 	}
 	switch {
-	case now >= s.previousLatestExpiry:
+	case now >= g.previousLatestExpiry(s):
 		g.finishRelease(now, s, "")
 	case possibleHolder == (routing.Lifetime{}):
 		if !s.previousUncertain {
@@ -358,7 +358,8 @@
 		g.onMove(s.service, s.Span, s.holder, s.plannedHolder, s.reason)
 	}
 	if previous := g.possibleHolder(s.holder, s.plannedHolder); previous != (routing.Lifetime{}) {
-		s.previous, s.previousUncertain, s.previousLatestExpiry = previous, previous != s.holder, s.latestExpiry
+		s.previous, s.previousUncertain = previous, previous != s.holder
+		s.previousLatestExpiry, s.previousInherited = s.latestExpiry, s.inherited
 		s.releaseToken = g.nextFencingToken()
 	}
 	s.holder, s.plannedHolder, s.moveInWrite = s.plannedHolder, routing.Lifetime{}, false
@@ -423,13 +424,13 @@
 		case s.isMoving() && g.isReachable(now, s.previous):
 			o.Ready, o.ReadyIn = false, handoverEstimate
 		case s.isMoving():
-			o.Ready, o.ReadyIn = false, max(s.previousLatestExpiry-now, 0)+handoverEstimate
+			o.Ready, o.ReadyIn = false, max(g.previousLatestExpiry(s)-now, 0)+handoverEstimate
 		case g.isReplaced(s.holder):
 			o.Ready, o.ReadyIn = false, handoverEstimate
 		case s.confirmedUntil == 0 && !s.inherited:
 			o.Ready, o.ReadyIn = false, handoverEstimate
 		case state != nil && g.isUnreachable(now, state) && !isolated:
-			o.Ready, o.ReadyIn = false, max(s.latestExpiry-now, 0)+handoverEstimate
+			o.Ready, o.ReadyIn = false, max(g.latestExpiry(s)-now, 0)+handoverEstimate
 		}
 		list = append(list, o)
 	}
