Count the age of announced leases from the sending of the update

What callers could see: two holders of a key after a leader crashed whose updates had waited for seconds in the queue of its network link.

Cause: what a leader announces about its leases covers 1.5 s from the sending of the update, but was counted from its arrival. A leader that had lost the store meanwhile may have granted leases of 8 s, for which its successor did not wait.

The earliest time at which the update can have been made counts, as for the configuration; an older announcement stands for the longest leases.

--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -216,7 +216,7 @@
 	c.adoptEra(now, update)
 	c.term, c.lastUpdateAt, c.leaderStoreAnswerAt, c.leaderRefused = update.Term, now, now-update.StoreAge, false
 	c.leaderStoreUnreachable, c.leaderPresumedEnded, c.leaderEnded = update.StoreUnreachable, false, false
-	c.leaderLeases = announcedLeases{leases: update.OutstandingLeases, at: now}
+	c.leaderLeases = announcedLeases{leases: update.OutstandingLeases, at: l.earliestSentAt(now, update)}
 	if !update.StoreUnreachable {
 		c.targets.setKeepMissingFor(now, update.KeepMissing)
 	}
--- a/internal/edge/predecessor.go
+++ b/internal/edge/predecessor.go
@@ -15,7 +15,7 @@
 // announcedLeases are the leases that a leader has announced to leave active when it ends.
 type announcedLeases struct {
 	leases rangelease.OutstandingLeases
-	at     time.Duration // when the update with the announcement was made, 0 if there is none
+	at     time.Duration // earliest time at which the update with them can have been made, 0 if there is none
 }
 
 // afterEnd returns what is known about a leader that has ended at an unknown time before now.
--- a/internal/edge/predecessor_test.go
+++ b/internal/edge/predecessor_test.go
@@ -114,6 +114,15 @@
 		Entry("an earlier process", func(i *rangelease.InstanceInfo) { i.Incarnation = 4 }),
 	)
 
+	It("waits for longer leases if the last announcement may be too old to include them", func() {
+		// Guards against two holders of a key: an update that waited for seconds in a queue announced leases of 3 s, after
+		// which the leader lost the store and granted leases of 8 s.
+		c.link.requestedAt = socket.BootTime() - 10*time.Second
+		c.applyStateUpdate(c.link, &stateUpdate{Term: 1, SentAt: time.Hour, OutstandingLeases: rangelease.OutstandingLeases{Hold: leaseDuration}})
+		c.handleLinkLost(c.link, errLeaderRestarted)
+		Expect(takeOver()).To(BeNumerically(">", rangelease.DefaultOptions.OutageLeaseDuration))
+	})
+
 	It("waits for leases that were announced of the leaders before it", func() {
 		// Guards against two holders of a key if the leader that ended had itself replaced one that may still run.
 		announce(rangelease.OutstandingLeases{Hold: leaseDuration, Earlier: 15 * time.Second})
