Begin the next term before the fencing tokens of one are used up

Cause: a fencing token is the term and a count of 24 bits that nothing bounded, and every renewal takes a new one, so the count ran into the bits of the term.

Change: when half of the tokens are used up, the grantor's next write of the record has its next term; once that is stored, its tokens are of that term. The leader stays and tells its followers the term. Should the tokens be used up while the store does not answer, no grant is sent until the term is stored.

--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -281,8 +281,8 @@
 		c.applyRestoredRecord(r, version)
 		return
 	}
-	if c.leadership != nil && c.leadership.replacing && r.Leader == c.self {
-		return // a write of replaceRecord, which handles its result itself
+	if c.leadership != nil && r.Leader == c.self && (c.leadership.replacing || r.Term > c.leadership.grantor.Term()) {
+		return // a write that begins a term of this leader, whose result is handled when it arrives
 	}
 	c.recordRestored = false
 	if c.leadership != nil && r.Term == c.leadership.grantor.Term() && r.Leader == c.self {
--- a/internal/edge/leadership.go
+++ b/internal/edge/leadership.go
@@ -342,10 +342,25 @@
 	l.recordVersion = max(l.recordVersion, got.Version)
 	l.grantor.ReportTermConfirmed(sentAt)
 	l.grantor.ReportWriteResult(now, true)
+	l.adoptTerm()
 	l.publishNow(now) // before the previous holders refuse requests for the keys that they release
 	l.advance(now)
 }
 
+// adoptTerm makes the grantor's term that of this instance, after the grantor has begun the next one
+// because the fencing tokens of the last are used up.
+func (l *leadership) adoptTerm() {
+	c, term := l.c, l.grantor.Term()
+	if term <= c.term {
+		return
+	}
+	c.log.Info().Str("event", "leader.term_renewed").Uint64("term", term).Uint64("old_term", c.term).Send()
+	next := *c.record
+	next.Term = term
+	c.record, c.term = &next, term
+	l.broadcast(stateUpdate{})
+}
+
 // rereadRecord reads the record because another instance may have become leader.
 func (l *leadership) rereadRecord() { l.c.readRecord(l.ctx, func() {}) }
 
--- a/internal/edge/takeover_test.go
+++ b/internal/edge/takeover_test.go
@@ -188,6 +188,47 @@
 		Expect(c.leadership.lostFollowers).To(BeEmpty())
 	})
 
+	It("goes on leading under the next term when the fencing tokens of one are used up", func() {
+		// Guards against a leader that takes its own next term for that of another leader and steps down, and against
+		// followers that are not told the term.
+		tokensPerTerm := rangelease.DefaultOptions.TokensPerTerm
+		rangelease.DefaultOptions.TokensPerTerm = 3
+		DeferCleanup(func() { rangelease.DefaultOptions.TokensPerTerm = tokensPerTerm })
+		c, record := newTakeoverLoop(8, &busyLeaseClient{})
+		c.startLeading(socket.BootTime(), record, 1)
+		DeferCleanup(endLoop, c)
+		f := &follower{InstanceInfo: rangelease.InstanceInfo{ID: "i1"}, out: make(chan []byte, followerQueueLength), stop: func() {}}
+		c.addFollower(f)
+		l, firstTerm := c.leadership, record.Term
+		for deadline := time.Now().Add(5 * time.Second); l.grantor.Term() == firstTerm && time.Now().Before(deadline); {
+			now := socket.BootTime()
+			l.tick(now)
+			// The watch of the record sees the next term before the response to the write arrives.
+			next := *c.record
+			next.Term, next.Leader = firstTerm+1, c.self
+			c.applyRecord(now, &next, c.recordVersion+1)
+			for len(c.events)+len(c.urgent) > 0 {
+				select {
+				case f := <-c.urgent:
+					f()
+				case f := <-c.events:
+					f()
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		Expect(c.leadership).To(BeIdenticalTo(l))
+		Expect([]uint64{l.grantor.Term(), c.term, c.record.Term}).To(HaveEach(firstTerm + 1))
+		var told uint64
+		for len(f.out) > 0 {
+			var update stateUpdate
+			_, err := readFrame(bytes.NewReader(<-f.out), map[byte]any{kindStateUpdate: &update, kindCompressedStateUpdate: &compressedUpdate{&update}})
+			Expect(err).NotTo(HaveOccurred())
+			told = max(told, update.Term)
+		}
+		Expect(told).To(Equal(firstTerm + 1))
+	})
+
 	It("gives up a lease request in time, however late its goroutine runs", func() {
 		// Guards against two holders of a key: a grant that arrives later than the grantor assumes extends a lease beyond the
 		// time at which the key is given to another target.
--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -31,6 +31,9 @@
 	// TermConfirmationTimeout is the time since the store last confirmed the term after which
 	// the grantor sends no calls and does not write the record.
 	TermConfirmationTimeout time.Duration
+	// TokensPerTerm is the number of fencing tokens after which the grantor begins the next term with
+	// its next write of the record.
+	TokensPerTerm uint64
 }
 
 // DefaultOptions holds the defaults.
@@ -43,6 +46,7 @@
 	CallTimeout:             400 * time.Millisecond,
 	UnreachableAfter:        1500 * time.Millisecond,
 	TermConfirmationTimeout: 12 * time.Second,
+	TokensPerTerm:           maxTokensPerTerm / 2, // the rest lasts for an hour at 2,000 grants per second
 }
 
 const (
@@ -109,7 +113,7 @@
 	instanceCount int
 	profiles      map[string]routing.ServiceProfile
 
-	tokensIssued uint64 // fencing tokens issued in this term
+	tokensIssued uint64 // fencing tokens issued in this term, see maxTokensPerTerm
 	callsIssued  uint64 // number of calls, which is also the number of the last one
 
 	spans map[string][]*leasedSpan
@@ -469,6 +473,13 @@
 	return routing.Lifetime{}
 }
 
+// isTermUsedUp reports whether the next write of the record has to begin the next term.
+func (g *Grantor) isTermUsedUp() bool { return g.tokensIssued >= g.options.TokensPerTerm }
+
+// isOutOfTokens reports whether no grant may be sent, because its fencing token might be one of the
+// next term.
+func (g *Grantor) isOutOfTokens() bool { return g.tokensIssued >= maxTokensPerTerm-reservedTokens }
+
 // isUnreachable reports whether a target has not answered for so long that it counts as
 // unreachable.
 func (g *Grantor) isUnreachable(now lease.Instant, state *targetState) bool {
@@ -548,10 +559,10 @@
 	}
 }
 
-// buildRecord returns the record to store, in which the planned holders of the moves that are
+// buildRecord returns the record to store under the given term, in which the planned holders of the moves that are
 // being written are the holders.
-func (g *Grantor) buildRecord(now lease.Instant) *Record {
-	r := &Record{Term: g.term, Leader: g.leader, Candidates: g.candidates, InstanceCount: g.instanceCount, Profiles: g.profiles, HoldersUnknown: g.holdersUnknown && now < g.earlierLeasesExpiry, Services: map[string][]Entry{}}
+func (g *Grantor) buildRecord(now lease.Instant, term uint64) *Record {
+	r := &Record{Term: term, Leader: g.leader, Candidates: g.candidates, InstanceCount: g.instanceCount, Profiles: g.profiles, HoldersUnknown: g.holdersUnknown && now < g.earlierLeasesExpiry, Services: map[string][]Entry{}}
 	for name, spans := range g.spans {
 		for _, s := range spans {
 			e := Entry{Span: s.Span, Holder: s.holder, Reason: s.reason, Term: s.term}
@@ -560,7 +571,7 @@
 				e.Previous = &previous
 			}
 			if s.moveInWrite {
-				e.Holder, e.Reason, e.Term = s.plannedHolder, g.moveReason(now, s.holder), g.term
+				e.Holder, e.Reason, e.Term = s.plannedHolder, g.moveReason(now, s.holder), term
 				if previous := g.possibleHolder(s.holder, s.plannedHolder); previous != (routing.Lifetime{}) {
 					e.Previous = &previous
 				}
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -405,6 +405,54 @@
 	})
 })
 
+// tokensPerTerm is the number of fencing tokens that fit into one term.
+const tokensPerTerm = 1 << 24
+
+var _ = Describe("a grantor whose fencing tokens of one term are used up", func() {
+	It("begins the next term, so that its successor has higher tokens", func() {
+		// Guards against tokens that run into those of the next term: after 4.6 days with 42 spans, targets refused all
+		// grants of the next grantor, and keys that moved had lower tokens than before.
+		runScenario(func(sim *simulation) {
+			sim.instances[0].grantor.SkipTokens(tokensPerTerm - 20)
+			sim.run(3 * time.Second)
+			Expect(sim.record.Term).To(BeEquivalentTo(2))
+			sim.takeOver(sim.instances[1])
+			sim.run(5 * time.Second)
+			Expect(sim.servedEighths()).To(Equal(8))
+			for _, v := range sim.servers {
+				for _, token := range v.leaseToken {
+					Expect(token / tokensPerTerm).To(Or(BeZero(), BeEquivalentTo(sim.record.Term)))
+				}
+			}
+		})
+	})
+
+	It("begins the next term while tokens are left", func() {
+		// Guards against a pause of all renewals when the tokens are used up while the store does not answer.
+		runScenario(func(sim *simulation) {
+			sim.instances[0].grantor.SkipTokens(rangelease.DefaultOptions.TokensPerTerm)
+			sim.run(100 * time.Millisecond)
+			Expect(sim.record.Term).To(BeEquivalentTo(2))
+			Expect(sim.instances[0].grantor.Term()).To(BeEquivalentTo(2))
+		})
+	})
+
+	It("sends no grants rather than tokens of the next term while the store does not answer", func() {
+		// Guards against tokens above those of a successor that has written the next term.
+		runScenario(func(sim *simulation) {
+			sim.instances[0].storeUnreachable = true
+			sim.instances[0].grantor.SkipTokens(tokensPerTerm - 10)
+			sim.run(2 * time.Second)
+			for _, v := range sim.servers {
+				Expect(v.leaseToken).To(HaveEach(BeNumerically("<", 2*tokensPerTerm)))
+			}
+			sim.instances[0].storeUnreachable = false
+			sim.run(5 * time.Second)
+			Expect(sim.servedEighths()).To(Equal(8))
+		})
+	})
+})
+
 var _ = It("makes terms of any era that a record can have and whose tokens JSON numbers represent", func() {
 	// Guards against tokens that a target reads as another number, and against a record that cannot be read any more.
 	for _, era := range []store.Era{0, 1, 2, 8191, 8192, 1 << 40, math.MaxUint64} {
@@ -445,7 +493,9 @@
 	if len(ids) > 0 {
 		v = sim.servers[ids[rapid.IntRange(0, len(ids)-1).Draw(sim.t, "server")]]
 	}
-	switch kind := rapid.IntRange(0, 14).Draw(sim.t, "fault"); {
+	switch kind := rapid.IntRange(0, 15).Draw(sim.t, "fault"); {
+	case kind == 15 && in.grantor != nil:
+		in.grantor.SkipTokens(tokensPerTerm - uint64(rapid.IntRange(1, 100).Draw(sim.t, "tokens left")))
 	case kind == 14 && v != nil && v.Address == v.ID:
 		sim.addMove(v)
 	case kind == 13:
--- a/ownership/rangelease/record.go
+++ b/ownership/rangelease/record.go
@@ -48,11 +48,19 @@
 	"github.com/boragegate/boragegate/routing"
 )
 
-// termShift is the position of the term in a fencing token. The lower bits number the
-// tokens of one term: 16 million per term. The upper bits of the term are the era of the store,
-// see FirstTerm.
+// termShift is the position of the term in a fencing token. The lower bits number the tokens of
+// one term. The upper bits of the term are the era of the store, see FirstTerm.
 const termShift = 24
 
+const (
+	// maxTokensPerTerm is the number of fencing tokens that fit below the term. A token beyond them
+	// would be one of the next term, so the grantor begins that term before; see
+	// Options.TokensPerTerm.
+	maxTokensPerTerm = 1 << termShift
+	// reservedTokens are kept for the releases of moves, at most one for each key.
+	reservedTokens = routing.KeyCount
+)
+
 // maxTerm limits fencing tokens to integers that JSON numbers represent exactly.
 const maxTerm = 1<<(53-termShift) - 1
 
--- a/ownership/rangelease/restore.go
+++ b/ownership/rangelease/restore.go
@@ -74,16 +74,20 @@
 // RecordForTerm returns the record to store under a new term while moves are suspended. It has the
 // holders as this grantor knows them.
 func (g *Grantor) RecordForTerm(now lease.Instant, term uint64) *Record {
-	r := g.buildRecord(now)
-	r.Term = term
-	return r
+	return g.buildRecord(now, term)
 }
 
 // BeginTerm reports that the store has stored the result of RecordForTerm, by a call that was sent
 // at the given time, and ends the suspension of moves.
 func (g *Grantor) BeginTerm(sent lease.Instant, term uint64) {
-	g.term, g.tokensIssued, g.movesSuspended = term, 0, false
+	g.movesSuspended = false
 	g.ReportTermConfirmed(sent)
+	g.beginTerm(term)
+}
+
+// beginTerm numbers the fencing tokens under a new term, which the store has.
+func (g *Grantor) beginTerm(term uint64) {
+	g.term, g.tokensIssued = term, 0
 	for _, spans := range g.spans {
 		for _, s := range spans {
 			if s.isMoving() {
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -73,7 +73,7 @@
 
 // isCallDue reports whether a release or a grant is due for a span.
 func (g *Grantor) isCallDue(now lease.Instant, s *leasedSpan, isolated bool) bool {
-	if s.outstandingCall != 0 || now < s.nextCallAt || g.withdrawnServices[s.service] {
+	if s.outstandingCall != 0 || now < s.nextCallAt || g.withdrawnServices[s.service] || g.isOutOfTokens() {
 		return false
 	}
 	if g.movesSuspended && (s.isMoving() || g.latestExpiry(s) == 0) {
@@ -302,7 +302,8 @@
 }
 
 // writeIfDue adds a write of the record to the actions if the last one has to be repeated, moves
-// are planned, or other changes have waited for deferredWriteDelay.
+// are planned, the tokens of the term are used up, or other changes have waited for
+// deferredWriteDelay.
 func (g *Grantor) writeIfDue(now lease.Instant) {
 	if g.writeInFlight || g.movesSuspended || now < g.nextWriteAt {
 		return
@@ -322,13 +323,17 @@
 			}
 		}
 	}
-	if !hasPlannedMoves && (g.deferredWriteSince == 0 || now-g.deferredWriteSince < deferredWriteDelay) {
+	term := g.term
+	if g.isTermUsedUp() {
+		term++
+	}
+	if !hasPlannedMoves && term == g.term && (g.deferredWriteSince == 0 || now-g.deferredWriteSince < deferredWriteDelay) {
 		return
 	}
 	g.deferredWriteSince = 0
 	g.writeInFlight = true
 	g.nextWriteAt = now + time.Duration(spanCount)*writeIntervalPerSpan
-	g.pendingRecord = g.buildRecord(now)
+	g.pendingRecord = g.buildRecord(now, term)
 	g.actions = append(g.actions, &WriteRecord{Record: g.pendingRecord})
 }
 
@@ -340,6 +345,9 @@
 		g.nextWriteAt = now + g.options.RetryInterval
 		return
 	}
+	if g.pendingRecord != nil && g.pendingRecord.Term > g.term {
+		g.beginTerm(g.pendingRecord.Term)
+	}
 	g.pendingRecord = nil
 	for _, spans := range g.spans {
 		for _, s := range spans {
