--- a/internal/edge/predecessor.go
+++ b/internal/edge/predecessor.go
@@ -7,10 +7,10 @@
 )
 
 // A new leader waits for the leases of the one that it replaces before it grants their keys to
-// others. The wait is short only if the replaced leader is proven to grant no more leases: it has said
-// so at its end, or a later process at its address answers or connects. A refused or reset connection is enough to take
-// over, but not for this, because a partition causes it too while the leader renews the leases of the
-// targets on its side.
+// others. The wait is short only if the replaced leader is proven to grant no more leases: it has
+// said so at its end, or a later process at its address answers or connects. A refused or reset
+// connection is enough to take over, but not for this, because a partition causes it too while the
+// leader renews the leases of the targets on its side.
 
 // announcedLeases are the leases that a leader has announced to leave active when it ends.
 type announcedLeases struct {
--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -559,8 +559,8 @@
 	}
 }
 
-// buildRecord returns the record to store under the given term, in which the planned holders of the moves that are
-// being written are the holders.
+// buildRecord returns the record to store under the given term. The planned holders of the moves that
+// are being written are the holders in it.
 func (g *Grantor) buildRecord(now lease.Instant, term uint64) *Record {
 	r := &Record{Term: term, Leader: g.leader, Candidates: g.candidates, InstanceCount: g.instanceCount, Profiles: g.profiles, HoldersUnknown: g.holdersUnknown && now < g.earlierLeasesExpiry, Services: map[string][]Entry{}}
 	for name, spans := range g.spans {
