Close connections to other instances when the control loop ends

Cause: the control loop waits for its goroutines, and one that waits for the answer to a leader query (up to 1.2 s) or for the first frame of a connection (1 s) did not notice the end. 0.3 s are kept for closing.

Evidence and fix: both entries of "an instance that stops does not wait for other instances" fail before (1.2 s and 1.0 s where less than 0.3 s are allowed). Both connections are now closed when the loop ends.

--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -94,10 +94,20 @@
 	}
 }
 
+// closeAtEnd closes a connection when the control loop ends, so that no goroutine of it waits for
+// another instance. The result closes the connection before.
+func (c *controlLoop) closeAtEnd(conn net.Conn) func() {
+	stop := context.AfterFunc(c.t.Context(context.Background()), func() { _ = conn.Close() })
+	return func() {
+		stop()
+		_ = conn.Close()
+	}
+}
+
 // servePeer serves a connection from another instance: a follower, or one that sends a
 // single leader query or leader info. It runs in its own goroutine.
 func (c *controlLoop) servePeer(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	defer c.closeAtEnd(conn)()
 	r := bufio.NewReader(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	var request followRequest
--- a/internal/edge/leader_query.go
+++ b/internal/edge/leader_query.go
@@ -39,7 +39,7 @@
 	default:
 		return // the next query goes to another instance
 	}
-	defer func() { _ = conn.Close() }()
+	defer c.closeAtEnd(conn)()
 	term := make(chan uint64, 1)
 	c.post(func() { term <- c.term })
 	var frame []byte
