Do not let a leader that was suspended replace a restored record

What callers would see: two targets hold the same keys (OWNER).

Cause: a leader was suspended, another one took over and moved keys, and a restore of the store lost its record. When the first one woke up, it wrote the record of the new era with the holders that it knew, and that write counted as the confirmation of its term for which it had to wait.

Change: a leader whose term is in doubt steps down instead. The next takeover counts the holders as unknown.

--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -179,7 +179,7 @@
 }
 
 // handleRestoredRecord writes the record of this leader over the stored one, unless another
-// instance has taken over in this era.
+// instance has taken over in this era, or may have done so in the last one and moved keys since.
 func (l *leadership) handleRestoredRecord(sentAt time.Duration, stored store.Object, err error) {
 	c, now := l.c, socket.BootTime()
 	write, term := c.store.Update, max(l.replaceTerm, l.grantor.Term())
@@ -200,6 +200,10 @@
 		}
 	}
 	c.recordStoreAnswer(now)
+	if l.grantor.IsTermInDoubt() {
+		c.stepDown("the store was restored while the term was in doubt")
+		return
+	}
 	// Each attempt has its own term, because the outcome of an earlier one may be unknown.
 	l.replaceTerm = max(term+1, rangelease.FirstTerm(c.era))
 	next := l.grantor.RecordForTerm(now, l.replaceTerm)
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -164,6 +164,20 @@
 		onLoop(func() { Expect(c.leadership).NotTo(BeNil()) })
 	})
 
+	It("steps down if it was suspended before the restore", func() {
+		// Guards against two holders of a key: another instance took over meanwhile and moved keys, the restore has lost its
+		// record, and the suspended leader replaced the restored record by its own.
+		runLoop(func() { c.startLeading(socket.BootTime(), record, version) })
+		Eventually(client.highest.Load).Should(BeNumerically(">", 0))
+		copied := s.Copy()
+		onLoop(func() {
+			c.leadership.grantor.RequireConfirmation(socket.BootTime() + time.Hour) // nothing confirms it before the restore
+			s.Restore(copied)
+		})
+		Eventually(func() (leads bool) { onLoop(func() { leads = c.leadership != nil }); return leads }).WithTimeout(5 * time.Second).Should(BeFalse())
+		Expect(stored().Term).To(BeNumerically("<", rangelease.FirstTerm(1)))
+	})
+
 	It("does not lead by a takeover that the store may have lost", func() {
 		// Guards against two leaders of one term: the write was acknowledged, but another instance took over by the copy.
 		copied := s.Copy()
--- a/ownership/rangelease/grantor.go
+++ b/ownership/rangelease/grantor.go
@@ -277,6 +277,12 @@
 // instance may have become the leader.
 func (g *Grantor) RequireConfirmation(now lease.Instant) { g.confirmationRequiredAt = now }
 
+// IsTermInDoubt reports whether another grantor may have taken over since the store last confirmed the
+// term: this process was suspended, or a target has seen a token of a later term.
+func (g *Grantor) IsTermInDoubt() bool {
+	return g.confirmationRequiredAt > 0 && g.termConfirmedAt <= g.confirmationRequiredAt
+}
+
 // ReportTermConfirmed reports that the store has confirmed the term, in its answer to a
 // call that was sent at the given time.
 func (g *Grantor) ReportTermConfirmed(sent lease.Instant) {
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -94,6 +94,23 @@
 		})
 	})
 
+	It("does not replace the restored record by that of a grantor that was suspended", func() {
+		// Guards against two holders of a key: the grantor was replaced while it was suspended, the store has lost that with the
+		// restore, and the keys that its successor has moved were granted to their earlier holders.
+		runScenario(func(sim *simulation) {
+			sim.copyStore()
+			first := sim.instances[0]
+			first.frozen = true
+			sim.takeOver(sim.instances[1])
+			sim.servers[routing.Lifetime{ID: "t3", Incarnation: 1}].Draining = true
+			sim.run(time.Second)
+			sim.restoreStore()
+			first.frozen = false
+			sim.run(30 * time.Second)
+			Expect(sim.servedEighths()).To(Equal(8))
+		})
+	})
+
 	It("serves the keys of a restored record when the leases of the grantor that ended have expired", func() {
 		// Guards against keys that are granted by a restored record while their actual holder has a lease, and against waiting
 		// longer than for the lease.
--- a/ownership/rangelease/restore.go
+++ b/ownership/rangelease/restore.go
@@ -13,7 +13,9 @@
 //     made from them are above those of all earlier eras, including the lost ones.
 //   - A grantor that learns of a later era knows the holders better than the record does. It
 //     suspends moves and goes on renewing leases, which its successor has to expect in any case,
-//     until it has replaced the restored record by its own under a term of the new era.
+//     until it has replaced the restored record by its own under a term of the new era. If its term is
+//     in doubt, it stops instead: the restore may have lost the record of a successor that has moved
+//     keys since.
 //   - A successor that finds a record of an earlier era, or none although there was a restore, does not
 //     know who holds the keys, also of services that the record lacks. It grants them when all leases of
 //     earlier grantors have expired.
--- a/ownership/rangelease/step.go
+++ b/ownership/rangelease/step.go
@@ -58,7 +58,7 @@
 // isSendingSuspended reports whether nothing may be sent, because the store has not confirmed
 // the term recently enough.
 func (g *Grantor) isSendingSuspended(now lease.Instant) bool {
-	return now-g.termConfirmedAt > g.options.TermConfirmationTimeout || g.confirmationRequiredAt > 0 && g.termConfirmedAt <= g.confirmationRequiredAt
+	return now-g.termConfirmedAt > g.options.TermConfirmationTimeout || g.IsTermInDoubt()
 }
 
 // advanceSpan adds the release or the grant that is due for a span to the actions.
