Do not lead again after the process has resigned

What callers would see: two targets hold the same keys for a moment (OWNER).

Cause: a leader that resigns at the end of its process tells its successor that it grants no more leases. For up to 0.3 s its control loop still runs, and the response to a takeover, or a next term that it had written, could make it the leader once more. Its successor does not wait for what it grants then.

Evidence and fix: "an instance whose process ends does not lead again" fails before. An instance that has resigned does not begin to lead.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -148,6 +148,8 @@
 	leadership *leadership
 
 	stopping bool
+	// resigned is set when the process ends; the instance does not lead from then on.
+	resigned bool
 }
 
 // post queues a function to run on the control loop. It may be called from any goroutine.
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -225,7 +225,7 @@
 // startLeading makes this instance the leader under a record that a call to the store, sent
 // at sentAt, has written or returned.
 func (c *controlLoop) startLeading(sentAt time.Duration, r *rangelease.Record, version store.Version) {
-	if version <= c.recordVersion || c.leadership != nil {
+	if version <= c.recordVersion || c.leadership != nil || c.resigned {
 		return
 	}
 	replaced, known := c.predecessor(socket.BootTime())
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -193,6 +193,7 @@
 	}
 	c.shared.forgetRateLimitReports(socket.BootTime())
 	l.stateReceived = false
+	c.leaderEnded = c.leaderEnded || errors.Is(err, errLeaderRestarted)
 	// A connection that is reset before the leader has sent a state update counts as
 	// refused: the instance there may have stopped listening without accepting it.
 	c.leaderRefused = c.leaderEnded || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errNotLeader) || errors.Is(err, syscall.ECONNRESET) && c.lastUpdateAt == 0
@@ -200,7 +201,6 @@
 	if c.leaderRefused {
 		c.lastUpdateAt = 0
 	}
-	c.leaderEnded = c.leaderEnded || errors.Is(err, errLeaderRestarted)
 	if c.leaderEnded || errors.Is(err, syscall.ECONNREFUSED) {
 		c.leaderPresumedEnded = true
 		c.runElection(socket.BootTime()) // a takeover need not wait
--- a/internal/edge/predecessor.go
+++ b/internal/edge/predecessor.go
@@ -54,6 +54,7 @@
 // resign ends the leadership of an instance whose process ends, and tells the followers. It returns
 // their connections, which close when they have been told.
 func (c *controlLoop) resign() []*follower {
+	c.resigned = true
 	if c.leadership == nil {
 		return nil
 	}
--- a/internal/edge/predecessor_test.go
+++ b/internal/edge/predecessor_test.go
@@ -34,6 +34,19 @@
 	Expect(c.leadership).To(BeNil())
 })
 
+var _ = It("an instance whose process ends does not lead again", func() {
+	// Guards against two holders of a key: its successor does not wait for leases that it grants after it has resigned. The
+	// response to a takeover, or the next term that it has written, may arrive after that.
+	c, record := newTakeoverLoop(8, &busyLeaseClient{})
+	DeferCleanup(endLoop, c)
+	c.startLeading(socket.BootTime(), record, 1)
+	c.resign()
+	next := *record
+	next.Term++
+	c.applyRecord(socket.BootTime(), &next, 2)
+	Expect(c.leadership).To(BeNil())
+})
+
 var _ = Describe("a takeover from a leader that cannot be reached", func() {
 	var (
 		c      *controlLoop
@@ -47,13 +60,13 @@
 	announce := func(leases rangelease.OutstandingLeases) {
 		c.applyStateUpdate(c.link, &stateUpdate{Term: 1, Leader: &leader, OutstandingLeases: leases})
 	}
+	earlierLeases := func() time.Duration {
+		return c.leadership.grantor.OutstandingLeases(socket.BootTime(), 0).Earlier
+	}
 	// takeOver makes the instance the leader and returns the time for which it waits for the leases of others.
 	takeOver := func() time.Duration {
 		c.startLeading(socket.BootTime(), record, 1)
-		return c.leadership.grantor.OutstandingLeases(socket.BootTime(), 0).Earlier
-	}
-	earlierLeases := func() time.Duration {
-		return c.leadership.grantor.OutstandingLeases(socket.BootTime(), 0).Earlier
+		return earlierLeases()
 	}
 	// connect makes an instance follow.
 	connect := func(instance rangelease.InstanceInfo) {
