Take only the next process of the same instance for the end of a leader

What callers would see: two targets hold the same keys (OWNER) if the address of a machine that is cut off is given to another one.

Cause: a follower with the address of the replaced leader and a later start counted as proof that the leader's process had ended, whatever its name.

Evidence and fix: the entry "another instance at its address" fails before. The name has to be the same too; an instance listens at its address before it follows, which it cannot do while its earlier process grants leases.

--- a/internal/edge/predecessor.go
+++ b/internal/edge/predecessor.go
@@ -66,11 +66,12 @@
 	return followers
 }
 
-// checkPredecessorEnded shortens the wait for the leases of the replaced leader if a follower is a
-// later process at its address, which cannot listen there before the earlier one has ended.
+// checkPredecessorEnded shortens the wait for the leases of the replaced leader if a follower is the
+// next process of its instance. An instance listens at its address before it follows, which it can
+// not do while its earlier process grants leases.
 func (l *leadership) checkPredecessorEnded(now time.Duration, f *follower) {
 	p := &l.predecessor
-	if p.ended || p.Address == "" || f.Address != p.Address || f.Incarnation <= p.Incarnation {
+	if p.ended || p.ID == "" || f.ID != p.ID || f.Address != p.Address || f.Incarnation <= p.Incarnation {
 		return
 	}
 	p.ended = true
--- a/internal/edge/predecessor_test.go
+++ b/internal/edge/predecessor_test.go
@@ -124,6 +124,7 @@
 		},
 		Entry("the leader itself", func(*rangelease.InstanceInfo) {}),
 		Entry("a later process at another address", func(i *rangelease.InstanceInfo) { i.Incarnation, i.Address = 6, "127.0.0.1:2" }),
+		Entry("another instance at its address", func(i *rangelease.InstanceInfo) { i.Incarnation, i.ID = 6, "other" }),
 		Entry("an earlier process", func(i *rangelease.InstanceInfo) { i.Incarnation = 4 }),
 	)
 
