--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,6 +80,8 @@
 			{Seed: 1021, Duration: 15 * time.Second, RateLimits: true},
 			{Seed: 1114, Duration: 16 * time.Second, RateLimits: true, Faults: softFaults},
 			{Seed: 1116, Duration: 16 * time.Second, RateLimits: true, Faults: softFaults},
+			// A planned stop waited for the answer of another instance to a leader query, beyond its grace period.
+			{Seed: 940207, Duration: 12 * time.Second, RateLimits: true},
 		} {
 			o.Subnet = 20 + n
 			wg.Go(func() {
--- a/ownership/rangelease/rangelease_test.go
+++ b/ownership/rangelease/rangelease_test.go
@@ -422,15 +422,15 @@
 	})
 })
 
-// tokensPerTerm is the number of fencing tokens that fit into one term.
-const tokensPerTerm = 1 << 24
+// tokensOfTerm is the number of fencing tokens that fit into one term.
+const tokensOfTerm = 1 << 24
 
 var _ = Describe("a grantor whose fencing tokens of one term are used up", func() {
 	It("begins the next term, so that its successor has higher tokens", func() {
 		// Guards against tokens that run into those of the next term: after 4.6 days with 42 spans, targets refused all
 		// grants of the next grantor, and keys that moved had lower tokens than before.
 		runScenario(func(sim *simulation) {
-			sim.instances[0].grantor.SkipTokens(tokensPerTerm - 20)
+			sim.instances[0].grantor.SkipTokens(tokensOfTerm - 20)
 			sim.run(3 * time.Second)
 			Expect(sim.record.Term).To(BeEquivalentTo(2))
 			sim.takeOver(sim.instances[1])
@@ -438,7 +438,7 @@
 			Expect(sim.servedEighths()).To(Equal(8))
 			for _, v := range sim.servers {
 				for _, token := range v.leaseToken {
-					Expect(token / tokensPerTerm).To(Or(BeZero(), BeEquivalentTo(sim.record.Term)))
+					Expect(token / tokensOfTerm).To(Or(BeZero(), BeEquivalentTo(sim.record.Term)))
 				}
 			}
 		})
@@ -458,10 +458,10 @@
 		// Guards against tokens above those of a successor that has written the next term.
 		runScenario(func(sim *simulation) {
 			sim.instances[0].storeUnreachable = true
-			sim.instances[0].grantor.SkipTokens(tokensPerTerm - 10)
+			sim.instances[0].grantor.SkipTokens(tokensOfTerm - 10)
 			sim.run(2 * time.Second)
 			for _, v := range sim.servers {
-				Expect(v.leaseToken).To(HaveEach(BeNumerically("<", 2*tokensPerTerm)))
+				Expect(v.leaseToken).To(HaveEach(BeNumerically("<", 2*tokensOfTerm)))
 			}
 			sim.instances[0].storeUnreachable = false
 			sim.run(5 * time.Second)
@@ -512,7 +512,7 @@
 	}
 	switch kind := rapid.IntRange(0, 15).Draw(sim.t, "fault"); {
 	case kind == 15 && in.grantor != nil:
-		in.grantor.SkipTokens(tokensPerTerm - uint64(rapid.IntRange(1, 100).Draw(sim.t, "tokens left")))
+		in.grantor.SkipTokens(tokensOfTerm - uint64(rapid.IntRange(1, 100).Draw(sim.t, "tokens left")))
 	case kind == 14 && v != nil && v.Address == v.ID:
 		sim.addMove(v)
 	case kind == 13:
