Let followers report the leases of a leader whose next process leads again

Cause: the killed leader restarted and led again before others took over. It knows that its earlier process has ended, but not which leases that one had announced, so it waited for all that could still be renewed. The code before had the same wait in that case; takeovers by others hid it there.

With the case of the report switched off, "waits for the announced leases only once a follower has reported them" fails.

Change: a follow request has what the follower last heard about the leases of a leader, with its term and age. A leader whose predecessor was an earlier process of itself uses a report of that term. Nothing is shortened for a record from an older copy of the store, for another term, or while the predecessor may still run.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -142,6 +142,8 @@
 	// process ends, or a later process answers at its address.
 	leaderEnded  bool
 	leaderLeases announcedLeases
+	// previousLeases are those of the last leader before the current one that had announced any.
+	previousLeases announcedLeases
 
 	lastReportAt time.Duration // last load report to the leader
 
--- a/internal/edge/election.go
+++ b/internal/edge/election.go
@@ -229,7 +229,7 @@
 		return
 	}
 	replaced, known := c.predecessor(socket.BootTime())
-	if replaced.ID != "" {
+	if replaced.ID != "" && replaced.ID != c.self.ID {
 		c.t.Go(func() error {
 			c.sendLeaderInfo(replaced.Address, leaderInfo{Term: r.Term, Leader: r.Leader})
 			return nil
@@ -247,7 +247,7 @@
 	c.leadership.predecessor = replaced
 	c.log.Info().Str("event", "leader.became").Uint64("term", r.Term).Bool("holders_unknown", r.HoldersUnknown).Str("predecessor", replaced.ID).
 		Bool("predecessor_ended", known.Ended).Dur("earlier_leases_ms", c.leadership.grantor.OutstandingLeases(socket.BootTime(), 0).Earlier).Send()
-	if replaced.Address != "" { // it is told again until it follows, because it may be too busy to accept a connection now
+	if replaced.Address != "" && replaced.ID != c.self.ID { // it is told again until it follows, because it may be too busy to accept a connection now
 		c.leadership.lostFollowers[replaced.ID] = lostFollower{address: replaced.Address, notifyUntil: socket.BootTime() + lostFollowerRetention}
 	}
 	if fromRestored {
@@ -316,6 +316,9 @@
 	}
 	c.elector.ReportLeaderChange(socket.BootTime())
 	c.lastUpdateAt, c.leaderStoreAnswerAt, c.leaderRefused, c.leaderStoreUnreachable = 0, 0, false, false
+	if c.leaderLeases.at > 0 {
+		c.previousLeases = c.leaderLeases
+	}
 	c.leaderPresumedEnded, c.leaderEnded, c.leaderLeases = false, false, announcedLeases{}
 	c.log.Info().Str("event", "leader.seen").Str("leader", r.Leader.ID).Uint64("term", r.Term).Send()
 	c.connectToLeader()
--- a/internal/edge/followers.go
+++ b/internal/edge/followers.go
@@ -52,6 +52,7 @@
 	// configVersion is the store version of the configuration that the follower has.
 	configVersion store.Version
 	configEra     store.Era // of configVersion
+	lastLeases    *leaseReport
 	joinedAt      time.Duration
 	conn          net.Conn
 	out           chan []byte // frames to send; a nil frame closes the connection
@@ -128,7 +129,7 @@
 	defer cancel()
 	f := &follower{
 		InstanceInfo:  rangelease.InstanceInfo{ID: request.Instance, Incarnation: request.Incarnation, Address: request.Address, Strength: request.Strength},
-		configVersion: request.ConfigVersion, configEra: request.ConfigEra, joinedAt: socket.BootTime(), conn: conn, out: make(chan []byte, followerQueueLength), stop: cancel,
+		configVersion: request.ConfigVersion, configEra: request.ConfigEra, lastLeases: request.LastLeases, joinedAt: socket.BootTime(), conn: conn, out: make(chan []byte, followerQueueLength), stop: cancel,
 	}
 	c.post(func() { c.addFollower(f) })
 	defer c.post(func() {
--- a/internal/edge/leader_link.go
+++ b/internal/edge/leader_link.go
@@ -15,7 +15,6 @@
 	"github.com/boragegate/boragegate/ownership/election"
 	"github.com/boragegate/boragegate/ownership/rangelease"
 	"github.com/boragegate/boragegate/routing"
-	"github.com/boragegate/boragegate/store"
 )
 
 const (
@@ -115,19 +114,28 @@
 	errLeaderRestarted = fmt.Errorf("%w: its process has restarted", errNotLeader)
 )
 
+func (c *controlLoop) newFollowRequest(now time.Duration) followRequest {
+	leases := c.leaderLeases // those of an earlier process if the leader has restarted
+	if leases.at == 0 {
+		leases = c.previousLeases
+	}
+	return followRequest{
+		Instance: c.self.ID, Address: c.self.Address, Strength: c.self.Strength, Incarnation: c.self.Incarnation,
+		ConfigVersion: c.configVersion, ConfigEra: c.configEra, LastLeases: leases.report(now),
+	}
+}
+
 // runLink sends the follow request on a new connection and applies what the leader sends.
 // It returns the error that ended the connection.
 func (c *controlLoop) runLink(ctx context.Context, l *leaderLink, conn net.Conn) error {
-	version, configEra := make(chan store.Version, 1), make(chan store.Era, 1)
+	requests := make(chan followRequest, 1)
 	c.post(func() {
 		l.requestedAt, l.firstSentAt = socket.BootTime(), 0
-		version <- c.configVersion
-		configEra <- c.configEra
+		requests <- c.newFollowRequest(l.requestedAt)
 	})
-	request := followRequest{Instance: c.self.ID, Address: c.self.Address, Strength: c.self.Strength, Incarnation: c.self.Incarnation}
+	var request followRequest
 	select {
-	case request.ConfigVersion = <-version:
-		request.ConfigEra = <-configEra
+	case request = <-requests:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -216,7 +224,7 @@
 	c.adoptEra(now, update)
 	c.term, c.lastUpdateAt, c.leaderStoreAnswerAt, c.leaderRefused = update.Term, now, now-update.StoreAge, false
 	c.leaderStoreUnreachable, c.leaderPresumedEnded, c.leaderEnded = update.StoreUnreachable, false, false
-	c.leaderLeases = announcedLeases{leases: update.OutstandingLeases, at: l.earliestSentAt(now, update)}
+	c.leaderLeases = announcedLeases{term: update.Term, leases: update.OutstandingLeases, at: l.earliestSentAt(now, update)}
 	if !update.StoreUnreachable {
 		c.targets.setKeepMissingFor(now, update.KeepMissing)
 	}
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -60,6 +60,8 @@
 	ConfigVersion store.Version `msgpack:"c,omitempty"`
 	// ConfigEra is the era of ConfigVersion.
 	ConfigEra store.Era `msgpack:"e,omitempty"`
+	// LastLeases is what the follower has last heard about the leases of a leader. Its term tells which.
+	LastLeases *leaseReport `msgpack:"l,omitempty"`
 }
 
 // notLeader is the answer of an instance that isn't the leader and has no leader to name.
--- a/internal/edge/predecessor.go
+++ b/internal/edge/predecessor.go
@@ -14,6 +14,7 @@
 
 // announcedLeases are the leases that a leader has announced to leave active when it ends.
 type announcedLeases struct {
+	term   uint64 // of the leader
 	leases rangelease.OutstandingLeases
 	at     time.Duration // earliest time at which the update with them can have been made, 0 if there is none
 }
@@ -30,27 +31,56 @@
 	return rangelease.Predecessor{Ended: true, Leases: leases}
 }
 
+// leaseReport is what a follower has last heard about the leases of a leader.
+type leaseReport struct {
+	Term   uint64                       `msgpack:"t"` // of that leader
+	Leases rangelease.OutstandingLeases `msgpack:"l"`
+	// Age is the longest time that may have passed since that leader sent it.
+	Age time.Duration `msgpack:"a"`
+}
+
+// report returns what to tell the next leader, or nil if there is no announcement.
+func (a announcedLeases) report(now time.Duration) *leaseReport {
+	if a.at == 0 {
+		return nil
+	}
+	return &leaseReport{Term: a.term, Leases: a.leases, Age: now - a.at}
+}
+
 // replacedLeader is the leader that this instance has replaced.
 type replacedLeader struct {
 	rangelease.InstanceInfo
+	term      uint64
 	announced announcedLeases
 	// ended is set when it is proven to grant no more leases.
 	ended bool
+	// reportMissing is set if it had ended before the takeover, but this instance has not heard what
+	// leases it leaves. Followers may have.
+	reportMissing bool
 }
 
 // predecessor returns the leader that this instance is about to replace, and what is known about
 // its leases.
 func (c *controlLoop) predecessor(now time.Duration) (replacedLeader, rangelease.Predecessor) {
 	p := replacedLeader{announced: c.leaderLeases, ended: c.leaderEnded}
-	if c.record != nil && c.record.Leader.ID != c.self.ID {
-		p.InstanceInfo = c.record.Leader
+	if c.record != nil && c.record.Leader != c.self {
+		p.InstanceInfo, p.term = c.record.Leader, c.record.Term
+		p.ended = p.ended || !c.isRecordOutdated() && p.isEarlierProcessOf(c.self)
 	}
 	if !p.ended {
 		return p, rangelease.Predecessor{}
 	}
+	p.reportMissing = p.announced.at == 0
 	return p, p.announced.afterEnd(now, grantOptions(c))
 }
 
+// isEarlierProcessOf reports whether the leader was an earlier process of the given instance. The
+// instance listens at its address before it follows or leads, which it cannot do while its earlier
+// process grants leases.
+func (p *replacedLeader) isEarlierProcessOf(i rangelease.InstanceInfo) bool {
+	return p.ID != "" && p.ID == i.ID && p.Address == i.Address && p.Incarnation < i.Incarnation
+}
+
 // resign ends the leadership of an instance whose process ends, and tells the followers. It returns
 // their connections, which close when they have been told.
 func (c *controlLoop) resign() []*follower {
@@ -67,15 +97,20 @@
 }
 
 // checkPredecessorEnded shortens the wait for the leases of the replaced leader if a follower is the
-// next process of its instance. An instance listens at its address before it follows, which it can
-// not do while its earlier process grants leases.
+// next process of its instance, or reports the leases of one that is known to have ended.
 func (l *leadership) checkPredecessorEnded(now time.Duration, f *follower) {
-	p := &l.predecessor
-	if p.ended || p.ID == "" || f.ID != p.ID || f.Address != p.Address || f.Incarnation <= p.Incarnation {
+	p, announced := &l.predecessor, announcedLeases{}
+	switch {
+	case !p.ended && p.isEarlierProcessOf(f.InstanceInfo):
+		p.ended, announced = true, p.announced
+	case p.reportMissing && f.lastLeases != nil && f.lastLeases.Term == p.term:
+		// The leader ended before the follower sent the report, so no more than the age in it lies
+		// between the announcement and the end.
+		p.reportMissing, announced = false, announcedLeases{leases: f.lastLeases.Leases, at: now - f.lastLeases.Age}
+	default:
 		return
 	}
-	p.ended = true
-	known := p.announced.afterEnd(now, grantOptions(l.c))
+	known := announced.afterEnd(now, grantOptions(l.c))
 	if known.Ended {
 		l.grantor.ReportPredecessorEnded(now, known.Leases)
 	}
--- a/internal/edge/predecessor_test.go
+++ b/internal/edge/predecessor_test.go
@@ -128,6 +128,59 @@
 		Entry("an earlier process", func(i *rangelease.InstanceInfo) { i.Incarnation = 4 }),
 	)
 
+	Context("by the next process of that leader", func() {
+		// report makes a follower connect that has heard an announcement of the leader.
+		report := func(term uint64, age time.Duration) {
+			c.previousLeases = announcedLeases{term: term, leases: rangelease.OutstandingLeases{Hold: leaseDuration}, at: socket.BootTime() - age}
+			c.leaderLeases = announcedLeases{}
+			request := c.newFollowRequest(socket.BootTime())
+			c.addFollower(&follower{InstanceInfo: rangelease.InstanceInfo{ID: "i1"}, lastLeases: request.LastLeases, out: make(chan []byte, followerQueueLength), stop: func() {}})
+		}
+		BeforeEach(func() {
+			c.self = leader
+			c.self.Incarnation++
+			c.link, c.leaderLeases = nil, announcedLeases{}
+		})
+
+		It("waits for the announced leases only once a follower has reported them", func() {
+			// Guards against keys that nobody serves for 20 s when a crashed leader restarts and leads again before others do.
+			Expect(takeOver()).To(BeNumerically(">", longestRenewal))
+			report(1, 500*time.Millisecond)
+			Expect(earlierLeases()).To(BeNumerically("<", leaseDuration+time.Second))
+		})
+
+		It("waits for longer leases if the report may be too old to include them", func() {
+			// Guards against two holders of a key: the leader may have lost the store and granted leases of 8 s after it.
+			takeOver()
+			report(1, outstandingLeasesHorizon+time.Millisecond)
+			Expect(earlierLeases()).To(BeNumerically(">", rangelease.DefaultOptions.OutageLeaseDuration))
+		})
+
+		It("goes on waiting for all leases after a report about another leader", func() {
+			// Guards against two holders of a key: another leader may have granted later leases.
+			c.record.Term = 2
+			takeOver()
+			report(1, 500*time.Millisecond)
+			Expect(earlierLeases()).To(BeNumerically(">", longestRenewal))
+		})
+
+		It("goes on waiting for all leases if the record is from an older copy of the store", func() {
+			// Guards against two holders of a key: the record of a later leader may be lost.
+			c.recordRestored = true
+			takeOver()
+			report(1, 500*time.Millisecond)
+			Expect(earlierLeases()).To(BeNumerically(">", longestRenewal))
+		})
+	})
+
+	It("goes on waiting for all leases after a report, if the leader may still run", func() {
+		// Guards against two holders of a key: what a leader announced says nothing about what it grants later.
+		c.handleLinkLost(c.link, syscall.ECONNREFUSED)
+		takeOver()
+		c.addFollower(&follower{InstanceInfo: rangelease.InstanceInfo{ID: "i1"}, lastLeases: &leaseReport{Term: 1}, out: make(chan []byte, followerQueueLength), stop: func() {}})
+		Expect(earlierLeases()).To(BeNumerically(">", longestRenewal))
+	})
+
 	It("waits for longer leases if the last announcement may be too old to include them", func() {
 		// Guards against two holders of a key: an update that waited for seconds in a queue announced leases of 3 s, after
 		// which the leader lost the store and granted leases of 8 s.
